--- /dev/null
+++ b/magnoliapick-admin/src/main/java/org/magnoliapick/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The administration API. */
+package org.magnoliapick.admin;
--- /dev/null
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/package-info.java
@@ -0,0 +1,2 @@
+/** The policy bench in virtual time. */
+package org.magnoliapick.bench;
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/config/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration: a tree of paths folded from the log, and its typed view. */
+package org.magnoliapick.config;
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/errors/package-info.java
@@ -0,0 +1,2 @@
+/** The closed list of error kinds and the exceptions that carry them. */
+package org.magnoliapick.errors;
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/lib/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers and small values shared by all decisions. */
+package org.magnoliapick.lib;
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/package-info.java
@@ -0,0 +1,2 @@
+/** Membership: entry instances and upstreams, with their states. */
+package org.magnoliapick.member;
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/order/package-info.java
@@ -0,0 +1,2 @@
+/** Orders to model engines, reconciled with the configuration. */
+package org.magnoliapick.order;
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/request/package-info.java
@@ -0,0 +1,2 @@
+/** The life of one request from its arrival to its final answer. */
+package org.magnoliapick.request;
--- /dev/null
+++ b/magnoliapick-load/src/main/java/org/magnoliapick/load/package-info.java
@@ -0,0 +1,2 @@
+/** The load command. */
+package org.magnoliapick.load;
--- /dev/null
+++ b/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.magnoliapick.pgm;
--- /dev/null
+++ b/magnoliapick-proof/src/main/java/org/magnoliapick/proof/package-info.java
@@ -0,0 +1,2 @@
+/** The fault matrix and the models. */
+package org.magnoliapick.proof;
--- /dev/null
+++ b/magnoliapick-report/src/main/java/org/magnoliapick/report/package-info.java
@@ -0,0 +1,2 @@
+/** The service-level burn report. */
+package org.magnoliapick.report;
--- /dev/null
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/package-info.java
@@ -0,0 +1,2 @@
+/** The entry instance: callers in, answers out. */
+package org.magnoliapick.router;
--- /dev/null
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between entry instances and their authenticated transport. */
+package org.magnoliapick.rpc;
