Add the request machine, claims and the member table

Cause: the router needs the decisions on requests, claims and membership before it can serve. Change: RequestMachine (life of a request), ClaimLedger, ClaimBatcher and ClaimCodec (at most once), MemberTable (instance list joined with heartbeats), ErrorKind CLAIM_OUTCOME_UNKNOWN. Conclusion: the API can be driven; its promises are not yet shown.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/errors/ErrorKind.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/errors/ErrorKind.java
@@ -39,6 +39,8 @@
     CLAIM_IN_PROGRESS(409, Outcome.OUTCOME_UNKNOWN, Retry.YES, Wait.SHORT),
     /** The request with this key ran, and its answer is no longer kept. */
     ALREADY_RUN(409, Outcome.FAILED, Retry.NO, Wait.NONE),
+    /** The request with this key may have run; its outcome was never recorded. */
+    CLAIM_OUTCOME_UNKNOWN(409, Outcome.OUTCOME_UNKNOWN, Retry.NO, Wait.NONE),
     /** The deadline passed after the request was sent. */
     DEADLINE_AFTER_START(504, Outcome.OUTCOME_UNKNOWN, Retry.NO, Wait.NONE),
     /** The connection to the upstream was lost after the request was sent. */
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/Absence.java
@@ -0,0 +1,26 @@
+package org.magnoliapick.member;
+
+/** How long a member has been missing from the lists that could be read. */
+final class Absence {
+    private static final long PRESENT = -1;
+
+    private long mSinceMillis = PRESENT;
+
+    void mark(boolean missing, long nowMillis) {
+        if (!missing) {
+            mSinceMillis = PRESENT;
+        } else if (mSinceMillis == PRESENT) {
+            mSinceMillis = nowMillis;
+        }
+    }
+
+    void extend(long millis) {
+        if (mSinceMillis != PRESENT) {
+            mSinceMillis += millis;
+        }
+    }
+
+    boolean longerThan(long millis, long nowMillis) {
+        return mSinceMillis != PRESENT && nowMillis - mSinceMillis > millis;
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/RouterEntry.java
@@ -0,0 +1,85 @@
+package org.magnoliapick.member;
+
+import java.util.Optional;
+
+/** What the table knows of one router. */
+final class RouterEntry {
+    final Absence mMissing = new Absence();
+    long mIncarnation;
+    private Optional<RouterMember> mListed = Optional.empty();
+    private boolean mLeaving;
+    private long mAliveAtMillis;
+
+    RouterEntry(long nowMillis) {
+        mAliveAtMillis = nowMillis;
+    }
+
+    void listed(RouterMember member, long nowMillis) {
+        if (member.incarnation() > mIncarnation) {
+            startIncarnation(member.incarnation(), nowMillis);
+        }
+        boolean current = member.incarnation() == 0 || member.incarnation() == mIncarnation;
+        if (current || mListed.isEmpty()) {
+            mListed = Optional.of(member);
+        }
+        // A listed leaving mark without an incarnation may be left over from an earlier process.
+        if (member.state() == MemberState.LEAVING && current && !heardLiveIncarnation(member)) {
+            mLeaving = true;
+        }
+    }
+
+    private boolean heardLiveIncarnation(RouterMember member) {
+        return member.incarnation() == 0 && mIncarnation != 0 && !mLeaving;
+    }
+
+    void heard(long incarnation, boolean leaving, long nowMillis) {
+        if (incarnation < mIncarnation) {
+            return;
+        }
+        if (incarnation > mIncarnation) {
+            startIncarnation(incarnation, nowMillis);
+        }
+        mLeaving |= leaving;
+        alive(nowMillis);
+    }
+
+    private void startIncarnation(long incarnation, long nowMillis) {
+        mIncarnation = incarnation;
+        mLeaving = false;
+        alive(nowMillis);
+    }
+
+    void alive(long nowMillis) {
+        mAliveAtMillis = Math.max(mAliveAtMillis, nowMillis);
+    }
+
+    boolean hasAddress() {
+        return mListed.isPresent();
+    }
+
+    boolean gone(long nowMillis) {
+        return silent(nowMillis) && mMissing.longerThan(MemberTable.FORGET_AFTER_MILLIS, nowMillis);
+    }
+
+    private boolean silent(long nowMillis) {
+        return nowMillis - mAliveAtMillis > MemberTable.SUSPECT_AFTER_MILLIS;
+    }
+
+    RouterMember toMember(long nowMillis) {
+        RouterMember listed = mListed.orElseThrow();
+        return new RouterMember(
+                listed.id(),
+                mIncarnation,
+                listed.domain(),
+                listed.host(),
+                listed.peerPort(),
+                state(nowMillis));
+    }
+
+    private MemberState state(long nowMillis) {
+        if (mLeaving) {
+            return MemberState.LEAVING;
+        }
+        return silent(nowMillis) ? MemberState.SUSPECT : MemberState.LIVE;
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/request/RequestMachine.java
@@ -0,0 +1,416 @@
+package org.magnoliapick.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliapick.claim.ClaimOutcome;
+import org.magnoliapick.claim.ClaimVerdict;
+import org.magnoliapick.errors.ErrorKind;
+import org.magnoliapick.errors.Outcome;
+import org.magnoliapick.lib.AttemptId;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.share.EndOfAttempt;
+
+/**
+ * Decides the life of one request. Driven by one thread at a time; each event returns the actions
+ * to carry out, in order. Events that come late, twice or from an old attempt are dropped and
+ * counted.
+ */
+public final class RequestMachine {
+    /** The most attempts of one request, the first one included. */
+    public static final int MAX_ATTEMPTS = 3;
+
+    /** The most times that one attempt is resumed. */
+    public static final int MAX_RESUMES = 3;
+
+    private final RequestPlan mPlan;
+    private final RetryAllowance mAllowance;
+    private final List<RequestAction> mActions = new ArrayList<>();
+    private RequestState mState = RequestState.RECEIVED;
+    private Optional<AttemptId> mAttempt = Optional.empty();
+    private Optional<UpstreamId> mUpstream = Optional.empty();
+    private Optional<ErrorKind> mLastFailure = Optional.empty();
+    private int mAttempts;
+    private int mResumes;
+    private int mChunksTaken;
+    private boolean mMayHaveRun;
+    private boolean mHeadRelayed;
+    private boolean mCallerGone;
+    private boolean mClaimOpen;
+    private boolean mFetchingKept;
+    private long mStrayEvents;
+
+    /** Creates the machine of a request that was just read from its caller. */
+    public RequestMachine(RequestPlan plan, RetryAllowance allowance) {
+        mPlan = Objects.requireNonNull(plan, "plan");
+        mAllowance = Objects.requireNonNull(allowance, "allowance");
+    }
+
+    /** Returns where the request stands. */
+    public RequestState state() {
+        return mState;
+    }
+
+    /** Returns the current attempt, if a slot is held. */
+    public Optional<AttemptId> attempt() {
+        return mAttempt;
+    }
+
+    /** Returns whether the request may have run at an upstream. */
+    public boolean mayHaveRun() {
+        return mMayHaveRun;
+    }
+
+    /** Returns the number of events dropped because they came late, twice or from old attempts. */
+    public long strayEvents() {
+        return mStrayEvents;
+    }
+
+    /** Takes an event and returns the actions to carry out, in order. */
+    public List<RequestAction> on(RequestEvent event, long nowMillis) {
+        mActions.clear();
+        if (event instanceof RequestEvent.SlotGranted granted) {
+            onSlotGranted(granted, nowMillis);
+        } else if (mState.isFinal()) {
+            mStrayEvents++;
+        } else if (!onAttemptEvent(event, nowMillis)) {
+            onRequestEvent(event, nowMillis);
+        }
+        return List.copyOf(mActions);
+    }
+
+    private boolean onAttemptEvent(RequestEvent event, long nowMillis) {
+        if (event instanceof RequestEvent.SendBegins begins) {
+            ifCurrent(begins.attempt(), () -> onSendBegins(nowMillis));
+        } else if (event instanceof RequestEvent.HeadReceived head) {
+            ifCurrent(head.attempt(), this::onHead);
+        } else if (event instanceof RequestEvent.ChunkReceived chunk) {
+            ifCurrent(chunk.attempt(), () -> onChunk(chunk.index(), nowMillis));
+        } else if (event instanceof RequestEvent.EndSeen end) {
+            ifCurrent(end.attempt(), () -> onEnd(nowMillis));
+        } else if (event instanceof RequestEvent.AttemptFailed failed) {
+            ifCurrent(failed.attempt(), () -> onAttemptFailed(failed.end(), nowMillis));
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void onRequestEvent(RequestEvent event, long nowMillis) {
+        if (event instanceof RequestEvent.Admitted) {
+            onAdmitted(nowMillis);
+        } else if (event instanceof RequestEvent.ClaimDecided decided) {
+            onClaimDecided(decided.verdict(), nowMillis);
+        } else if (event instanceof RequestEvent.KeptAnswerFound) {
+            onKeptAnswer(true);
+        } else if (event instanceof RequestEvent.KeptAnswerMissing) {
+            onKeptAnswer(false);
+        } else if (event instanceof RequestEvent.Refused refused) {
+            onRefused(refused);
+        } else if (event instanceof RequestEvent.DeadlinePassed) {
+            fail(deadlineKind(), Optional.empty());
+        } else if (event instanceof RequestEvent.CallerGone) {
+            onCallerGone();
+        } else if (event instanceof RequestEvent.Stopping) {
+            onStopping();
+        } else {
+            throw new IllegalStateException("No rule for " + event);
+        }
+    }
+
+    private void ifCurrent(AttemptId attempt, Runnable rule) {
+        if (mAttempt.filter(attempt::equals).isPresent()) {
+            rule.run();
+        } else {
+            mStrayEvents++;
+        }
+    }
+
+    private void onAdmitted(long nowMillis) {
+        if (mState != RequestState.RECEIVED) {
+            mStrayEvents++;
+        } else if (nowMillis >= mPlan.deadlineMillis()) {
+            fail(deadlineKind(), Optional.empty());
+        } else if (mPlan.claim().isPresent()) {
+            mState = RequestState.CLAIMING;
+            mClaimOpen = true;
+            mActions.add(new RequestAction.AppendClaim(mPlan.claim().orElseThrow()));
+        } else {
+            queue(Set.of());
+        }
+    }
+
+    private void queue(Set<UpstreamId> excluded) {
+        mState = RequestState.QUEUED;
+        mActions.add(new RequestAction.Submit(excluded));
+    }
+
+    private void onClaimDecided(ClaimVerdict verdict, long nowMillis) {
+        if (mState != RequestState.CLAIMING || mFetchingKept) {
+            mStrayEvents++;
+        } else if (verdict instanceof ClaimVerdict.Won) {
+            onClaimWon(nowMillis);
+        } else {
+            mClaimOpen = false;
+            onClaimLost(verdict);
+        }
+    }
+
+    private void onClaimWon(long nowMillis) {
+        if (nowMillis >= mPlan.deadlineMillis()) {
+            fail(deadlineKind(), Optional.empty());
+        } else {
+            queue(Set.of());
+        }
+    }
+
+    private void onClaimLost(ClaimVerdict verdict) {
+        if (verdict instanceof ClaimVerdict.AlreadyRun ran) {
+            mFetchingKept = true;
+            mActions.add(new RequestAction.FetchKeptAnswer(ran.holder(), ran.claim()));
+        } else if (verdict instanceof ClaimVerdict.InProgress) {
+            fail(ErrorKind.CLAIM_IN_PROGRESS, Optional.empty());
+        } else if (verdict instanceof ClaimVerdict.KeyReused) {
+            fail(ErrorKind.KEY_REUSED, Optional.empty());
+        } else {
+            fail(ErrorKind.CLAIM_OUTCOME_UNKNOWN, Optional.empty());
+        }
+    }
+
+    private void onKeptAnswer(boolean found) {
+        if (!mFetchingKept) {
+            mStrayEvents++;
+        } else if (found) {
+            mState = RequestState.WHOLE;
+            mActions.add(new RequestAction.AnswerKept());
+        } else {
+            fail(ErrorKind.ALREADY_RUN, Optional.empty());
+        }
+    }
+
+    private void onSlotGranted(RequestEvent.SlotGranted granted, long nowMillis) {
+        if (mState.holdsSlot()) {
+            mStrayEvents++;
+        } else if (mState != RequestState.QUEUED) {
+            mStrayEvents++;
+            mActions.add(new RequestAction.ReleaseSlot(EndOfAttempt.CANCELLED));
+        } else if (nowMillis >= mPlan.deadlineMillis()) {
+            mState = RequestState.GRANTED;
+            fail(deadlineKind(), Optional.empty());
+        } else if (mUpstream.filter(granted.upstream()::equals).isPresent()) {
+            mActions.add(new RequestAction.ReleaseSlot(EndOfAttempt.CANCELLED));
+            queue(Set.of(granted.upstream()));
+        } else {
+            grant(granted);
+        }
+    }
+
+    private void grant(RequestEvent.SlotGranted granted) {
+        mState = RequestState.GRANTED;
+        mAttempt = Optional.of(granted.attempt());
+        mUpstream = Optional.of(granted.upstream());
+        mAttempts++;
+        mResumes = 0;
+        mChunksTaken = 0;
+        mActions.add(new RequestAction.StartAttempt(granted.attempt(), granted.upstream()));
+    }
+
+    private void onSendBegins(long nowMillis) {
+        if (mState != RequestState.GRANTED) {
+            mStrayEvents++;
+        } else if (nowMillis >= mPlan.deadlineMillis()) {
+            fail(deadlineKind(), Optional.empty());
+        } else {
+            mState = RequestState.SENT;
+            mActions.add(new RequestAction.Send(currentAttempt(), currentUpstream()));
+        }
+    }
+
+    private void onHead() {
+        if (mState == RequestState.SENT) {
+            mState = RequestState.ANSWERING;
+        } else if (mResumes == 0) {
+            mStrayEvents++;
+        }
+    }
+
+    private void onChunk(int index, long nowMillis) {
+        if (mState != RequestState.ANSWERING || index < mChunksTaken) {
+            mStrayEvents++;
+        } else if (index > mChunksTaken) {
+            // A gap: what is missing cannot be fetched again without splicing.
+            mActions.add(new RequestAction.CancelAttempt(currentAttempt(), currentUpstream()));
+            onAttemptFailed(AttemptEnd.MALFORMED, nowMillis);
+        } else {
+            takeChunk(index);
+        }
+    }
+
+    private void takeChunk(int index) {
+        mChunksTaken++;
+        if (!mPlan.streamed()) {
+            mActions.add(new RequestAction.HoldChunk(currentAttempt(), index));
+        } else if (!mCallerGone) {
+            relayHead();
+            mActions.add(new RequestAction.RelayChunk(currentAttempt(), index));
+        }
+    }
+
+    private void relayHead() {
+        if (!mHeadRelayed) {
+            mHeadRelayed = true;
+            mActions.add(new RequestAction.RelayHead(currentAttempt()));
+        }
+    }
+
+    private void onEnd(long nowMillis) {
+        if (mState == RequestState.SENT) {
+            onAttemptFailed(AttemptEnd.MALFORMED, nowMillis);
+        } else if (mState != RequestState.ANSWERING) {
+            mStrayEvents++;
+        } else {
+            finishWhole();
+        }
+    }
+
+    private void finishWhole() {
+        if (!mCallerGone) {
+            relayHead();
+            mActions.add(new RequestAction.AnswerWhole(currentAttempt()));
+        }
+        mActions.add(new RequestAction.ReleaseSlot(EndOfAttempt.WHOLE));
+        recordOutcome(ClaimOutcome.DONE);
+        mState = RequestState.WHOLE;
+    }
+
+    private void onAttemptFailed(AttemptEnd end, long nowMillis) {
+        if (mayResume(end, nowMillis)) {
+            mResumes++;
+            mActions.add(
+                    new RequestAction.ResumeAttempt(
+                            currentAttempt(), currentUpstream(), mChunksTaken));
+            return;
+        }
+        boolean notRun = mState == RequestState.GRANTED || end.provesNotRun();
+        boolean neverLeft = mState == RequestState.GRANTED || end == AttemptEnd.NOT_SENT;
+        if (!notRun) {
+            mMayHaveRun = true;
+            mLastFailure = Optional.of(end.errorKind());
+        }
+        if (mayRetry(neverLeft, nowMillis)) {
+            mActions.add(new RequestAction.ReleaseSlot(end.endOfAttempt()));
+            mAttempt = Optional.empty();
+            queue(Set.of(currentUpstream()));
+        } else {
+            failAttempt(notRun ? ErrorKind.UPSTREAM_REFUSED : end.errorKind(), end.endOfAttempt());
+        }
+    }
+
+    private boolean mayResume(AttemptEnd end, long nowMillis) {
+        return mState == RequestState.ANSWERING
+                && mPlan.resumable()
+                && end.resumable()
+                && mChunksTaken > 0
+                && mResumes < MAX_RESUMES
+                && nowMillis < mPlan.deadlineMillis()
+                && mAllowance.take(nowMillis);
+    }
+
+    private boolean mayRetry(boolean neverLeft, long nowMillis) {
+        return (mPlan.idempotent() || neverLeft)
+                && !mHeadRelayed
+                && !mCallerGone
+                && mAttempts < MAX_ATTEMPTS
+                && nowMillis < mPlan.deadlineMillis()
+                && mAllowance.take(nowMillis);
+    }
+
+    private void onRefused(RequestEvent.Refused refused) {
+        if (mState.holdsSlot()) {
+            mStrayEvents++;
+        } else {
+            fail(refused.kind(), Optional.of(refused.retryAfterMillis()));
+        }
+    }
+
+    private void onCallerGone() {
+        mCallerGone = true;
+        boolean sent = mState == RequestState.SENT || mState == RequestState.ANSWERING;
+        if (sent && !mPlan.idempotent()) {
+            // Runs to its end, so that its outcome is known to a caller that comes back.
+            return;
+        }
+        fail(ErrorKind.CALLER_GONE, Optional.empty());
+    }
+
+    private void onStopping() {
+        if (!mState.holdsSlot()) {
+            fail(ErrorKind.NOT_READY, Optional.empty());
+        }
+    }
+
+    private ErrorKind deadlineKind() {
+        boolean sent = mState == RequestState.SENT || mState == RequestState.ANSWERING;
+        return sent || mMayHaveRun
+                ? ErrorKind.DEADLINE_AFTER_START
+                : ErrorKind.DEADLINE_BEFORE_START;
+    }
+
+    /** Ends the request now, cancelling what is under way. */
+    private void fail(ErrorKind kind, Optional<Long> retryAfterMillis) {
+        if (mState == RequestState.QUEUED) {
+            mActions.add(new RequestAction.Withdraw());
+        }
+        if (mState == RequestState.SENT || mState == RequestState.ANSWERING) {
+            mMayHaveRun = true;
+            mActions.add(new RequestAction.CancelAttempt(currentAttempt(), currentUpstream()));
+        }
+        if (mState.holdsSlot()) {
+            mActions.add(new RequestAction.ReleaseSlot(EndOfAttempt.CANCELLED));
+        }
+        end(kind, retryAfterMillis);
+    }
+
+    private void failAttempt(ErrorKind kind, EndOfAttempt end) {
+        mActions.add(new RequestAction.ReleaseSlot(end));
+        end(kind, Optional.empty());
+    }
+
+    private void end(ErrorKind kind, Optional<Long> retryAfterMillis) {
+        ErrorKind truth = truthful(kind);
+        mState = RequestState.FAILED;
+        if (!mCallerGone) {
+            Optional<Long> wait =
+                    truth.retryAfterMillis()
+                            .map(least -> Math.max(least, retryAfterMillis.orElse(0L)));
+            mActions.add(new RequestAction.AnswerError(truth, wait, mHeadRelayed));
+        }
+        recordOutcome(mMayHaveRun ? ClaimOutcome.UNKNOWN : ClaimOutcome.NOT_RUN);
+    }
+
+    /** Replaces a kind that says "not run" if an earlier attempt may have run. */
+    private ErrorKind truthful(ErrorKind kind) {
+        if (mMayHaveRun && kind.outcome() == Outcome.NOT_RUN) {
+            return mLastFailure.orElse(ErrorKind.INTERNAL_AFTER_START);
+        }
+        return kind;
+    }
+
+    private void recordOutcome(ClaimOutcome outcome) {
+        if (mClaimOpen) {
+            mClaimOpen = false;
+            mActions.add(
+                    new RequestAction.RecordClaimOutcome(mPlan.claim().orElseThrow(), outcome));
+        }
+    }
+
+    private AttemptId currentAttempt() {
+        return mAttempt.orElseThrow();
+    }
+
+    private UpstreamId currentUpstream() {
+        return mUpstream.orElseThrow();
+    }
+}
