--- /dev/null
+++ b/bin/lib/run-java.sh
@@ -0,0 +1,32 @@
+# Sourced by the scripts under bin: starts a main class from the built jars.
+
+ROOT_DIR=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+JAR_DIR="$ROOT_DIR/magnoliapick-dist/target/lib"
+
+# Small processes: little heap, one collector thread, quick start.
+SMALL_JAVA_OPTIONS=(-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss512k)
+
+# Builds the jars unless they are there.
+build_if_needed() {
+    if [ ! -d "$JAR_DIR" ]; then
+        echo "Building (once)." >&2
+        (cd "$ROOT_DIR" && mvn -B -q -DskipTests package) >&2
+    fi
+}
+
+# run_main CLASS [JVM OPTION...] -- [ARGUMENT...]: replaces the shell by the Java process.
+run_main() {
+    local class=$1
+    shift
+    local java_options=()
+    while [ "$#" -gt 0 ] && [ "$1" != "--" ]; do
+        java_options+=("$1")
+        shift
+    done
+    shift
+    build_if_needed
+    # MAGNOLIAPICK_JAVA_OPTIONS is split on purpose: it holds several options.
+    # shellcheck disable=SC2086
+    exec java "${java_options[@]}" ${MAGNOLIAPICK_JAVA_OPTIONS:-} \
+        -cp "$JAR_DIR/*" "$class" "$@"
+}
--- a/magnoliapick-standin/src/main/java/org/magnoliapick/standin/EngineStandin.java
+++ b/magnoliapick-standin/src/main/java/org/magnoliapick/standin/EngineStandin.java
@@ -73,6 +73,11 @@
         mDraining = draining;
     }
 
+    /** Returns whether new work is refused. */
+    public boolean isDraining() {
+        return mDraining;
+    }
+
     /** Returns how many attempts took a slot. */
     public long started() {
         return mStarted.get();
--- a/magnoliapick-standin/src/main/java/org/magnoliapick/standin/ServiceStandin.java
+++ b/magnoliapick-standin/src/main/java/org/magnoliapick/standin/ServiceStandin.java
@@ -57,6 +57,11 @@
         mDraining = draining;
     }
 
+    /** Returns whether new work is refused. */
+    public boolean isDraining() {
+        return mDraining;
+    }
+
     /** Returns how often each idempotency key ran. */
     public Map<String, Integer> ranByKey() {
         return new TreeMap<>(mRanByKey);
