--- /dev/null
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/policy/Policies.java
@@ -0,0 +1,53 @@
+package org.magnoliapick.bench.policy;
+
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.magnoliapick.share.ShareNode;
+
+/** The policies by name. */
+public final class Policies {
+    /** The name of the policy that the targets compare with. */
+    public static final String IDEAL = "ideal";
+
+    private record Baseline(String label, boolean sharesOneNode, Function<Oracle, Nodes> nodes)
+            implements Policy {
+        @Override
+        public Nodes open(Oracle oracle) {
+            return nodes.apply(oracle);
+        }
+    }
+
+    private Policies() {}
+
+    /** Finds a policy. */
+    public static Optional<Policy> find(String name) {
+        return Optional.ofNullable(all().get(name.toLowerCase(Locale.ROOT)));
+    }
+
+    /** Returns the names of all policies. */
+    public static Set<String> names() {
+        return all().keySet();
+    }
+
+    private static Map<String, Policy> all() {
+        Map<String, Policy> policies = new LinkedHashMap<>();
+        add(policies, new Baseline(IDEAL, true, Policies::idealNodes));
+        add(
+                policies,
+                new Baseline("round-robin", false, oracle -> (s, d, i, r) -> new RoundRobinNode()));
+        return policies;
+    }
+
+    private static Policy.Nodes idealNodes(Oracle oracle) {
+        ShareNode shared = new IdealNode(oracle);
+        return (self, domain, incarnation, seed) -> shared;
+    }
+
+    private static void add(Map<String, Policy> policies, Policy policy) {
+        policies.put(policy.label(), policy);
+    }
+}
