--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/config/KeyHash.java
@@ -0,0 +1,30 @@
+package org.magnoliapick.config;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Hashes of bearer keys, as they stand in the settings. */
+public final class KeyHash {
+    private KeyHash() {}
+
+    /** Returns the lower-case hexadecimal SHA-256 hash of a key. */
+    public static String of(String key) {
+        return ofBytes(key.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Compares two hashes in a time that does not depend on where they differ. */
+    public static boolean matches(String left, String right) {
+        return MessageDigest.isEqual(
+                left.getBytes(StandardCharsets.UTF_8), right.getBytes(StandardCharsets.UTF_8));
+    }
+
+    static String ofBytes(byte[] bytes) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("Every Java platform has SHA-256", e);
+        }
+    }
+}
