Share slots by a static split with fair queueing per instance

Change: SharePolicy.STATIC_SPLIT: bounded queues by class and age, weighted fair queueing on this instance's part of the slots, deadline refusals, adaptive slot limits, ejection and cache affinity.

--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/BaseShareNode.java
@@ -0,0 +1,308 @@
+package org.magnoliapick.internal.share;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliapick.config.FleetConfig;
+import org.magnoliapick.errors.ErrorKind;
+import org.magnoliapick.lib.RequestId;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.member.FleetView;
+import org.magnoliapick.record.Cause;
+import org.magnoliapick.share.EndOfAttempt;
+import org.magnoliapick.share.LoadReport;
+import org.magnoliapick.share.QueuedRequest;
+import org.magnoliapick.share.ShareAction;
+import org.magnoliapick.share.ShareNode;
+import org.magnoliapick.share.ShareSettings;
+
+/** The part of every policy that concerns this instance alone: queues, charging, refusals. */
+abstract class BaseShareNode implements ShareNode {
+    /** How long requests wait for an upstream to appear once there is none, in milliseconds. */
+    private static final long NO_UPSTREAM_GRACE_MILLIS = 2_000;
+
+    private final ShareSettings mSettings;
+    private final QueueTable mQueues = new QueueTable();
+    private final UpstreamTable mUpstreams = new UpstreamTable();
+    private final LocalScheduler mLocal = new LocalScheduler(mQueues);
+    private final CostEstimator mCosts = new CostEstimator();
+    private final Admission mAdmission;
+    private final Map<RequestId, Running> mRunning = new HashMap<>();
+    private final Map<String, Long> mUnservedSinceMillis = new HashMap<>();
+    private FleetView mView = FleetView.EMPTY;
+    private FleetConfig mConfig = FleetConfig.EMPTY;
+    private Optional<WorkspaceId> mLastStarted = Optional.empty();
+    private List<ShareAction> mActions = new ArrayList<>();
+
+    BaseShareNode(ShareSettings settings) {
+        mSettings = settings;
+        mAdmission = new Admission(mQueues, settings.maxQueuedRequests());
+    }
+
+    /** Follows a change of the queue of a workspace for a target. */
+    abstract void queueChanged(String target, WorkspaceId workspace, long nowMillis);
+
+    /** Follows the start of a request. */
+    abstract void started(Running running, long nowMillis);
+
+    /** Follows an increase in what a request has used. */
+    abstract void used(Running running, double increase, double remainingBefore, long nowMillis);
+
+    /** Follows the end of a request; its slot is free. */
+    abstract void ended(Running running, EndOfAttempt end, long nowMillis);
+
+    /** Starts whatever can start for a target. */
+    abstract void pump(String target, long nowMillis);
+
+    /** Does what is due by time, before the queues are looked at. */
+    abstract void ticked(long nowMillis);
+
+    @Override
+    public final List<ShareAction> submit(QueuedRequest request, long nowMillis) {
+        if (mQueues.contains(request.id()) || mRunning.containsKey(request.id())) {
+            return List.of();
+        }
+        boolean served = !mUpstreams.serving(request.target()).isEmpty();
+        Optional<ErrorKind> refusal = mAdmission.check(request, served, nowMillis);
+        if (refusal.isPresent()) {
+            refuse(request, refusal.get(), nowMillis);
+            return takeActions();
+        }
+        mQueues.add(request, nowMillis);
+        act(Notes.admitted(request, mQueues, nowMillis));
+        notifyQueueChanged(request, nowMillis);
+        pump(request.target(), nowMillis);
+        return takeActions();
+    }
+
+    @Override
+    public final List<ShareAction> cancel(RequestId request, long nowMillis) {
+        mQueues.remove(request)
+                .ifPresent(waiting -> notifyQueueChanged(waiting.request(), nowMillis));
+        return takeActions();
+    }
+
+    @Override
+    public final List<ShareAction> progress(RequestId request, double usedUnits, long nowMillis) {
+        Running running = mRunning.get(request);
+        if (running != null) {
+            observeGap(running, charge(running, usedUnits, nowMillis), nowMillis);
+        }
+        return takeActions();
+    }
+
+    @Override
+    public final List<ShareAction> finish(
+            RequestId request, EndOfAttempt end, double usedUnits, long nowMillis) {
+        Running running = mRunning.remove(request);
+        if (running == null) {
+            return takeActions();
+        }
+        charge(running, finalUnits(running, end, usedUnits), nowMillis);
+        if (end == EndOfAttempt.WHOLE) {
+            mCosts.finished(running.request(), running.usedUnits());
+        }
+        Upstream upstream = running.upstream();
+        upstream.addInFlight(-1);
+        if (upstream.ejection().ended(end, nowMillis)) {
+            act(Notes.ejected(running, nowMillis));
+        }
+        mLocal.ended(running);
+        ended(running, end, nowMillis);
+        upstream.member().targets().forEach(target -> pump(target, nowMillis));
+        return takeActions();
+    }
+
+    @Override
+    public List<ShareAction> viewChanged(FleetView view, long nowMillis) {
+        mView = view;
+        mUpstreams.setView(view);
+        pumpAll(nowMillis);
+        return takeActions();
+    }
+
+    @Override
+    public List<ShareAction> configChanged(FleetConfig config, long nowMillis) {
+        if (config.offset() < mConfig.offset()) {
+            return List.of();
+        }
+        mConfig = config;
+        mUpstreams.setConfig(config);
+        mLocal.setConfig(config);
+        mAdmission.setConfig(config);
+        return takeActions();
+    }
+
+    @Override
+    public List<ShareAction> loadReported(UpstreamId upstream, LoadReport report, long nowMillis) {
+        mUpstreams.find(upstream).ifPresent(known -> known.slotLimit().report(report, nowMillis));
+        return takeActions();
+    }
+
+    @Override
+    public List<ShareAction> cacheChanged(
+            UpstreamId upstream, List<Long> stored, List<Long> evicted, long nowMillis) {
+        mUpstreams.find(upstream).ifPresent(known -> known.cacheHints().changed(stored, evicted));
+        return takeActions();
+    }
+
+    @Override
+    public final List<ShareAction> tick(long nowMillis) {
+        refuseExpired(nowMillis);
+        refuseUnserved(nowMillis);
+        ticked(nowMillis);
+        pumpAll(nowMillis);
+        return takeActions();
+    }
+
+    @Override
+    public final long tickMillis() {
+        return mSettings.tickMillis();
+    }
+
+    /** Starts a waiting request at an upstream. */
+    final void start(Waiting waiting, Upstream upstream, Cause cause, long nowMillis) {
+        QueuedRequest request = waiting.request();
+        Running running = new Running(request, upstream, mCosts.estimate(request));
+        double key = mLocal.key(request.target(), request.workspace());
+        noteWait(waiting, cause, nowMillis);
+        mQueues.remove(request.id());
+        mRunning.put(request.id(), running);
+        upstream.addInFlight(1);
+        upstream.cacheHints().sent(request);
+        mAdmission.started(request.workspace(), nowMillis);
+        mLocal.started(running);
+        started(running, nowMillis);
+        notifyQueueChanged(request, nowMillis);
+        act(new ShareAction.Start(request.id(), upstream.id()));
+        act(Notes.started(running, cause, key, nowMillis));
+        mLastStarted = Optional.of(request.workspace());
+    }
+
+    final void pumpAll(long nowMillis) {
+        mQueues.targets().forEach(target -> pump(target, nowMillis));
+    }
+
+    final void act(ShareAction action) {
+        mActions.add(action);
+    }
+
+    final List<ShareAction> takeActions() {
+        if (mActions.isEmpty()) {
+            return List.of();
+        }
+        List<ShareAction> taken = mActions;
+        mActions = new ArrayList<>();
+        return taken;
+    }
+
+    final ShareSettings settings() {
+        return mSettings;
+    }
+
+    final QueueTable queues() {
+        return mQueues;
+    }
+
+    final UpstreamTable upstreams() {
+        return mUpstreams;
+    }
+
+    final LocalScheduler local() {
+        return mLocal;
+    }
+
+    final CostEstimator costs() {
+        return mCosts;
+    }
+
+    final FleetView view() {
+        return mView;
+    }
+
+    final FleetConfig config() {
+        return mConfig;
+    }
+
+    private double charge(Running running, double usedUnits, long nowMillis) {
+        double remainingBefore = running.remainingUnits();
+        double increase = running.use(usedUnits);
+        if (increase > 0) {
+            mLocal.used(running, increase, remainingBefore);
+            used(running, increase, remainingBefore, nowMillis);
+        }
+        return increase;
+    }
+
+    /** Returns the final cost; a whole answer without a usable cost is charged its estimate. */
+    private static double finalUnits(Running running, EndOfAttempt end, double usedUnits) {
+        boolean usable = usedUnits >= 0 && !Double.isInfinite(usedUnits);
+        return end == EndOfAttempt.WHOLE && !usable ? running.estimateUnits() : usedUnits;
+    }
+
+    private static void observeGap(Running running, double increase, long nowMillis) {
+        long lapMillis = running.lapMillis(nowMillis);
+        if (increase > 0 && lapMillis > 0) {
+            running.upstream().slotLimit().gapObserved(lapMillis / increase, nowMillis);
+        }
+    }
+
+    private void refuseExpired(long nowMillis) {
+        for (Waiting waiting : mQueues.expired(nowMillis)) {
+            refuseWaiting(waiting, ErrorKind.DEADLINE_BEFORE_START, nowMillis);
+        }
+    }
+
+    private void refuseUnserved(long nowMillis) {
+        for (String target : mQueues.targets()) {
+            if (mQueues.workspaces(target).isEmpty() || !mUpstreams.serving(target).isEmpty()) {
+                mUnservedSinceMillis.remove(target);
+                continue;
+            }
+            long sinceMillis = mUnservedSinceMillis.computeIfAbsent(target, name -> nowMillis);
+            if (nowMillis - sinceMillis >= NO_UPSTREAM_GRACE_MILLIS) {
+                mQueues.all(target)
+                        .forEach(
+                                waiting ->
+                                        refuseWaiting(waiting, ErrorKind.NO_UPSTREAM, nowMillis));
+            }
+        }
+    }
+
+    private void refuseWaiting(Waiting waiting, ErrorKind kind, long nowMillis) {
+        mQueues.remove(waiting.request().id());
+        refuse(waiting.request(), kind, nowMillis);
+        notifyQueueChanged(waiting.request(), nowMillis);
+    }
+
+    private void refuse(QueuedRequest request, ErrorKind kind, long nowMillis) {
+        long retryAfterMillis = mAdmission.retryAfterMillis(kind, request.workspace(), nowMillis);
+        act(new ShareAction.Refuse(request.id(), kind, retryAfterMillis));
+        act(Notes.refused(request, kind, retryAfterMillis, nowMillis));
+    }
+
+    private void noteWait(Waiting waiting, Cause startCause, long nowMillis) {
+        if (nowMillis - waiting.arrivedMillis() < mSettings.tickMillis()) {
+            return;
+        }
+        WorkspaceId own = waiting.request().workspace();
+        Optional<WorkspaceId> ahead = mLastStarted.filter(last -> !last.equals(own));
+        Cause cause = Cause.NO_SLOT;
+        if (startCause == Cause.FALLBACK) {
+            cause = Cause.FALLBACK;
+        } else if (ahead.isPresent()) {
+            cause = Cause.BEHIND_WORKSPACE;
+        } else if (mLastStarted.isPresent()) {
+            cause = Cause.BEHIND_OWN_REQUEST;
+        }
+        act(Notes.waited(waiting, cause, ahead, nowMillis));
+    }
+
+    private void notifyQueueChanged(QueuedRequest request, long nowMillis) {
+        mLocal.queueChanged(request.target(), request.workspace(), nowMillis);
+        queueChanged(request.target(), request.workspace(), nowMillis);
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/CostEstimator.java
@@ -0,0 +1,55 @@
+package org.magnoliapick.internal.share;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalDouble;
+import org.magnoliapick.lib.RequestClass;
+import org.magnoliapick.lib.TargetKind;
+import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.share.QueuedRequest;
+
+/**
+ * Estimates what a request will cost: a high quantile of what finished for the same workspace,
+ * target and class. A caller's hint only serves as long as nothing has finished.
+ */
+final class CostEstimator {
+    private static final double QUANTILE = 0.75;
+    private static final double STEP_RATIO = 0.1;
+    private static final double MIN_UNITS = 1;
+    private static final double MODEL_PRIOR_UNITS = 400;
+    private static final double SERVICE_PRIOR_UNITS = 200;
+    private static final double MAX_HINT_RATIO = 10;
+
+    private final Map<Key, Double> mEstimates = new HashMap<>();
+
+    private record Key(WorkspaceId workspace, String target, RequestClass requestClass) {
+        static Key of(QueuedRequest request) {
+            return new Key(request.workspace(), request.target(), request.requestClass());
+        }
+    }
+
+    /** Returns the estimated cost of a request, in service units. */
+    double estimate(QueuedRequest request) {
+        Double known = mEstimates.get(Key.of(request));
+        return known == null ? prior(request.kind(), request.hintUnits()) : known;
+    }
+
+    /** Learns the cost of a request that came to its end. */
+    void finished(QueuedRequest request, double usedUnits) {
+        double used = Math.max(MIN_UNITS, Units.ofRequest(usedUnits));
+        mEstimates.merge(Key.of(request), used, CostEstimator::approach);
+    }
+
+    private static double approach(double estimate, double used) {
+        if (used > estimate) {
+            return Math.min(used, estimate * (1 + STEP_RATIO * QUANTILE));
+        }
+        return Math.max(used, estimate * (1 - STEP_RATIO * (1 - QUANTILE)));
+    }
+
+    private static double prior(TargetKind kind, OptionalDouble hintUnits) {
+        double prior = kind == TargetKind.MODEL ? MODEL_PRIOR_UNITS : SERVICE_PRIOR_UNITS;
+        double hint = Units.ofRequest(hintUnits.orElse(prior));
+        return Math.max(prior / MAX_HINT_RATIO, Math.min(prior * MAX_HINT_RATIO, hint));
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/FairIndex.java
@@ -0,0 +1,177 @@
+package org.magnoliapick.internal.share;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.magnoliapick.config.FleetConfig;
+import org.magnoliapick.lib.WorkspaceId;
+
+/**
+ * The workspaces ordered by the normalised service they have received. Each change costs the
+ * logarithm of the number of backlogged workspaces.
+ */
+final class FairIndex {
+    /** A workspace that was idle for less keeps its place when it returns. */
+    private static final long IDLE_MILLIS = 1_000;
+
+    /** The most that is carried, as a multiple of the largest charge and the work in flight. */
+    private static final double CARRY_FACTOR = 4;
+
+    private static final double MIN_CARRY_UNITS = 1_000;
+
+    private final Weights mWeights = new Weights();
+    private final Map<WorkspaceId, Account> mAccounts = new HashMap<>();
+    private final TreeSet<Account> mBacklogged = new TreeSet<>(Account.BY_KEY);
+    private double mLargestChargeUnits;
+    private double mInFlightUnits;
+    private int mInFlightAccounts;
+
+    /** The least key of the backlogged workspaces when there were some last. */
+    private double mFloor;
+
+    /** Takes new weights. */
+    void setConfig(FleetConfig config) {
+        mWeights.setConfig(config);
+    }
+
+    /**
+     * Marks a workspace as backlogged. One that returns from idle is lifted to the least served.
+     *
+     * @param lift whether it was idle everywhere, not only here
+     */
+    void backlogged(WorkspaceId workspace, boolean lift, long nowMillis) {
+        Account account = account(workspace);
+        if (mBacklogged.contains(account)) {
+            return;
+        }
+        activate(account);
+        if (lift && nowMillis - account.satisfiedMillis() >= IDLE_MILLIS) {
+            double floor = mBacklogged.isEmpty() ? mFloor : mBacklogged.first().key();
+            account.moveKeyTo(Math.max(account.key(), floor));
+        }
+        capCarry(account);
+        mBacklogged.add(account);
+    }
+
+    /** Marks a workspace as having no waiting request; it stays active while work is in flight. */
+    void satisfied(WorkspaceId workspace, long nowMillis) {
+        Account account = mAccounts.get(workspace);
+        if (account == null || !mBacklogged.contains(account)) {
+            return;
+        }
+        mFloor = mBacklogged.first().key();
+        mBacklogged.remove(account);
+        account.setSatisfiedMillis(nowMillis);
+        deactivateIfIdle(account);
+    }
+
+    /** Charges service that a workspace has received, in units. */
+    void charge(WorkspaceId workspace, double units) {
+        double sane = Units.ofRequest(units);
+        mLargestChargeUnits = Math.max(mLargestChargeUnits, sane);
+        Account account = account(workspace);
+        double weight = mWeights.weight(workspace);
+        change(account, () -> account.addServed(sane, weight));
+    }
+
+    /** Sets the estimate of what a workspace still has in flight, in units. */
+    void setInFlight(WorkspaceId workspace, double units) {
+        Account account = account(workspace);
+        double before = account.inFlightUnits();
+        change(account, () -> account.setInFlightUnits(units));
+        countInFlight(before, account.inFlightUnits());
+        if (account.inFlightUnits() > 0) {
+            activate(account);
+        }
+        deactivateIfIdle(account);
+    }
+
+    /** Finds the backlogged workspace that has received the least. */
+    Optional<WorkspaceId> least() {
+        return mBacklogged.isEmpty()
+                ? Optional.empty()
+                : Optional.of(mBacklogged.first().workspace());
+    }
+
+    /** Returns the backlogged workspaces, the least served one first. */
+    Iterable<WorkspaceId> inOrder() {
+        return this::iterator;
+    }
+
+    /** Returns whether a workspace is marked as backlogged. */
+    boolean isBacklogged(WorkspaceId workspace) {
+        Account account = mAccounts.get(workspace);
+        return account != null && mBacklogged.contains(account);
+    }
+
+    /** Counts the backlogged workspaces. */
+    int backloggedCount() {
+        return mBacklogged.size();
+    }
+
+    /** Returns the normalised service of a workspace, in-flight work included. */
+    double key(WorkspaceId workspace) {
+        Account account = mAccounts.get(workspace);
+        return account == null ? 0 : account.key();
+    }
+
+    /** Returns the weight of a workspace in its team's share. */
+    double weight(WorkspaceId workspace) {
+        return mWeights.weight(workspace);
+    }
+
+    private void activate(Account account) {
+        if (!account.active()) {
+            account.setActive(true);
+            mWeights.activate(account.workspace());
+            account.updateKey(mWeights.weight(account.workspace()));
+        }
+    }
+
+    private void deactivateIfIdle(Account account) {
+        if (account.active() && account.inFlightUnits() == 0 && !mBacklogged.contains(account)) {
+            account.setActive(false);
+            mWeights.deactivate(account.workspace());
+        }
+    }
+
+    private void countInFlight(double before, double after) {
+        mInFlightAccounts += (after > 0 ? 1 : 0) - (before > 0 ? 1 : 0);
+        double sum = mInFlightUnits + after - before;
+        mInFlightUnits = mInFlightAccounts == 0 ? 0 : Math.max(0, sum);
+    }
+
+    private void change(Account account, Runnable step) {
+        boolean wasBacklogged = mBacklogged.remove(account);
+        step.run();
+        account.updateKey(mWeights.weight(account.workspace()));
+        if (wasBacklogged) {
+            capCarry(account);
+            mBacklogged.add(account);
+        }
+    }
+
+    /** Forgives what a workspace is ahead of the least served one beyond the carry. */
+    private void capCarry(Account account) {
+        if (mBacklogged.isEmpty()) {
+            return;
+        }
+        double carryUnits =
+                Math.max(MIN_CARRY_UNITS, CARRY_FACTOR * (mLargestChargeUnits + mInFlightUnits));
+        double carry = carryUnits / mWeights.weight(account.workspace());
+        double most = mBacklogged.first().key() + carry;
+        if (account.key() > most) {
+            account.moveKeyTo(most);
+        }
+    }
+
+    private Iterator<WorkspaceId> iterator() {
+        return mBacklogged.stream().map(Account::workspace).iterator();
+    }
+
+    private Account account(WorkspaceId workspace) {
+        return mAccounts.computeIfAbsent(workspace, Account::new);
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/LocalScheduler.java
@@ -0,0 +1,96 @@
+package org.magnoliapick.internal.share;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliapick.config.FleetConfig;
+import org.magnoliapick.lib.WorkspaceId;
+
+/** Weighted fair queueing over the requests of this instance alone, per target. */
+final class LocalScheduler {
+    private final QueueTable mQueues;
+    private final Map<String, FairIndex> mIndexes = new HashMap<>();
+    private final Map<String, Ledger> mLedgers = new HashMap<>();
+    private FleetConfig mConfig = FleetConfig.EMPTY;
+
+    /** A request and the upstream that has a slot for it. */
+    record Choice(Waiting waiting, Upstream upstream) {}
+
+    LocalScheduler(QueueTable queues) {
+        mQueues = queues;
+    }
+
+    void setConfig(FleetConfig config) {
+        mConfig = config;
+        mIndexes.values().forEach(index -> index.setConfig(config));
+    }
+
+    /** Follows a change of the queue of a workspace. */
+    void queueChanged(String target, WorkspaceId workspace, long nowMillis) {
+        if (mQueues.size(target, workspace) > 0) {
+            index(target).backlogged(workspace, true, nowMillis);
+        } else {
+            index(target).satisfied(workspace, nowMillis);
+        }
+    }
+
+    /** Follows the start of a request. */
+    void started(Running running) {
+        ledger(running).started(running);
+        inFlightChanged(running);
+    }
+
+    /** Charges an increase in use. */
+    void used(Running running, double increase, double remainingBefore) {
+        ledger(running).used(running, increase, remainingBefore);
+        index(running.request().target()).charge(running.request().workspace(), increase);
+        inFlightChanged(running);
+    }
+
+    /** Follows the end of a request. */
+    void ended(Running running) {
+        ledger(running).ended(running);
+        inFlightChanged(running);
+    }
+
+    /** Finds the next request to start, the workspace with the least service first. */
+    Optional<Choice> next(String target, SlotSource slots) {
+        for (WorkspaceId workspace : index(target).inOrder()) {
+            for (Waiting waiting : mQueues.inOrder(target, workspace)) {
+                Optional<Upstream> upstream = slots.find(waiting.request());
+                if (upstream.isPresent()) {
+                    return Optional.of(new Choice(waiting, upstream.get()));
+                }
+                if (waiting.request().excluded().isEmpty()) {
+                    return Optional.empty();
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the normalised service of a workspace. */
+    double key(String target, WorkspaceId workspace) {
+        return index(target).key(workspace);
+    }
+
+    private void inFlightChanged(Running running) {
+        WorkspaceId workspace = running.request().workspace();
+        double units = ledger(running).line(workspace).inFlightUnits();
+        index(running.request().target()).setInFlight(workspace, units);
+    }
+
+    private Ledger ledger(Running running) {
+        return mLedgers.computeIfAbsent(running.request().target(), target -> new Ledger());
+    }
+
+    private FairIndex index(String target) {
+        return mIndexes.computeIfAbsent(target, this::newIndex);
+    }
+
+    private FairIndex newIndex(String target) {
+        FairIndex index = new FairIndex();
+        index.setConfig(mConfig);
+        return index;
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Notes.java
@@ -0,0 +1,111 @@
+package org.magnoliapick.internal.share;
+
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliapick.errors.ErrorKind;
+import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.record.Cause;
+import org.magnoliapick.record.DecisionRecord;
+import org.magnoliapick.record.Step;
+import org.magnoliapick.share.QueuedRequest;
+import org.magnoliapick.share.ShareAction;
+
+/** Makes the decision records of the shares. */
+final class Notes {
+    private Notes() {}
+
+    /** Records that a request was queued. */
+    static ShareAction admitted(QueuedRequest request, QueueTable queues, long nowMillis) {
+        return note(
+                nowMillis,
+                Step.ADMISSION,
+                Cause.ADMITTED,
+                request,
+                Optional.empty(),
+                Optional.empty(),
+                Map.of(
+                        "queuedInWorkspace", (double) queues.size(request.workspace()),
+                        "queuedInInstance", (double) queues.size()));
+    }
+
+    /** Records that a request was refused. */
+    static ShareAction refused(
+            QueuedRequest request, ErrorKind kind, long retryAfterMillis, long nowMillis) {
+        return note(
+                nowMillis,
+                Step.REFUSAL,
+                Admission.cause(kind),
+                request,
+                Optional.empty(),
+                Optional.empty(),
+                Map.of(
+                        "retryAfterMillis", (double) retryAfterMillis,
+                        "deadlineInMillis", (double) (request.deadlineMillis() - nowMillis)));
+    }
+
+    /** Records why a request waited before it was started. */
+    static ShareAction waited(
+            Waiting waiting, Cause cause, Optional<WorkspaceId> ahead, long nowMillis) {
+        return note(
+                nowMillis,
+                Step.QUEUE,
+                cause,
+                waiting.request(),
+                Optional.empty(),
+                ahead,
+                Map.of("waitedMillis", (double) (nowMillis - waiting.arrivedMillis())));
+    }
+
+    /** Records which upstream a request was started at, and why it was its turn. */
+    static ShareAction started(Running running, Cause cause, double key, long nowMillis) {
+        Upstream upstream = running.upstream();
+        return note(
+                nowMillis,
+                Step.UPSTREAM_CHOICE,
+                cause,
+                running.request(),
+                Optional.of(upstream),
+                Optional.empty(),
+                Map.of(
+                        "limit",
+                        (double) upstream.limit(nowMillis),
+                        "inFlightHere",
+                        (double) upstream.inFlight(),
+                        "estimateUnits",
+                        running.estimateUnits(),
+                        "normalisedService",
+                        key));
+    }
+
+    /** Records that an upstream was ejected. */
+    static ShareAction ejected(Running running, long nowMillis) {
+        return note(
+                nowMillis,
+                Step.UPSTREAM_CHOICE,
+                Cause.EJECTED,
+                running.request(),
+                Optional.of(running.upstream()),
+                Optional.empty(),
+                Map.of());
+    }
+
+    private static ShareAction note(
+            long nowMillis,
+            Step step,
+            Cause cause,
+            QueuedRequest request,
+            Optional<Upstream> upstream,
+            Optional<WorkspaceId> ahead,
+            Map<String, Double> numbers) {
+        return new ShareAction.Note(
+                new DecisionRecord(
+                        nowMillis,
+                        step,
+                        cause,
+                        Optional.of(request.id()),
+                        Optional.of(request.workspace()),
+                        upstream.map(Upstream::id),
+                        ahead,
+                        numbers));
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/QueueTable.java
@@ -0,0 +1,129 @@
+package org.magnoliapick.internal.share;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.magnoliapick.lib.RequestId;
+import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.share.QueuedRequest;
+
+/** The requests that wait in one instance, by target and workspace. */
+final class QueueTable {
+    private static final NavigableSet<Waiting> EMPTY =
+            Collections.unmodifiableNavigableSet(new TreeSet<>(Waiting.BY_RANK));
+
+    private final Map<String, Map<WorkspaceId, TreeSet<Waiting>>> mByTarget = new TreeMap<>();
+    private final Map<RequestId, Waiting> mById = new HashMap<>();
+    private final Map<WorkspaceId, Integer> mSizes = new HashMap<>();
+    private final TreeSet<Waiting> mByDeadline = new TreeSet<>(Waiting.BY_DEADLINE);
+    private long mNextSequence;
+
+    /** Adds a request at its place by class and age. */
+    Waiting add(QueuedRequest request, long nowMillis) {
+        Waiting waiting = new Waiting(request, nowMillis, mNextSequence++);
+        mByTarget
+                .computeIfAbsent(request.target(), target -> new TreeMap<>())
+                .computeIfAbsent(request.workspace(), id -> new TreeSet<>(Waiting.BY_RANK))
+                .add(waiting);
+        mById.put(request.id(), waiting);
+        mByDeadline.add(waiting);
+        mSizes.merge(request.workspace(), 1, Integer::sum);
+        return waiting;
+    }
+
+    /** Removes a request, if it waits. */
+    Optional<Waiting> remove(RequestId id) {
+        Waiting waiting = mById.remove(id);
+        if (waiting == null) {
+            return Optional.empty();
+        }
+        WorkspaceId workspace = waiting.request().workspace();
+        Map<WorkspaceId, TreeSet<Waiting>> queues = mByTarget.get(waiting.request().target());
+        TreeSet<Waiting> queue = queues.get(workspace);
+        queue.remove(waiting);
+        if (queue.isEmpty()) {
+            queues.remove(workspace);
+        }
+        mByDeadline.remove(waiting);
+        mSizes.computeIfPresent(workspace, (key, size) -> size == 1 ? null : size - 1);
+        return Optional.of(waiting);
+    }
+
+    /** Returns the requests of a workspace for a target, the first one first. */
+    Iterable<Waiting> inOrder(String target, WorkspaceId workspace) {
+        return queue(target, workspace);
+    }
+
+    /** Finds the first request of a workspace for a target. */
+    Optional<Waiting> head(String target, WorkspaceId workspace) {
+        NavigableSet<Waiting> queue = queue(target, workspace);
+        return queue.isEmpty() ? Optional.empty() : Optional.of(queue.first());
+    }
+
+    /** Returns the requests whose deadline has come. */
+    List<Waiting> expired(long nowMillis) {
+        List<Waiting> found = new ArrayList<>();
+        for (Waiting waiting : mByDeadline) {
+            if (waiting.request().deadlineMillis() > nowMillis) {
+                break;
+            }
+            found.add(waiting);
+        }
+        return found;
+    }
+
+    /** Returns the targets that were ever asked for. */
+    Collection<String> targets() {
+        return List.copyOf(mByTarget.keySet());
+    }
+
+    /** Returns the workspaces with waiting requests for a target. */
+    Collection<WorkspaceId> workspaces(String target) {
+        return List.copyOf(mByTarget.getOrDefault(target, Map.of()).keySet());
+    }
+
+    /** Returns all requests that wait for a target. */
+    List<Waiting> all(String target) {
+        List<Waiting> found = new ArrayList<>();
+        mByTarget.getOrDefault(target, Map.of()).values().forEach(found::addAll);
+        return found;
+    }
+
+    /** Returns whether a request waits. */
+    boolean contains(RequestId id) {
+        return mById.containsKey(id);
+    }
+
+    /** Counts the waiting requests of a workspace for a target. */
+    int size(String target, WorkspaceId workspace) {
+        return queue(target, workspace).size();
+    }
+
+    /** Counts the requests of the same workspace and target that a new one would wait behind. */
+    int countAhead(QueuedRequest request, long nowMillis) {
+        Waiting place = new Waiting(request, nowMillis, mNextSequence);
+        return queue(request.target(), request.workspace()).headSet(place).size();
+    }
+
+    /** Counts the waiting requests of a workspace. */
+    int size(WorkspaceId workspace) {
+        return mSizes.getOrDefault(workspace, 0);
+    }
+
+    /** Counts the waiting requests. */
+    int size() {
+        return mById.size();
+    }
+
+    private NavigableSet<Waiting> queue(String target, WorkspaceId workspace) {
+        NavigableSet<Waiting> queue = mByTarget.getOrDefault(target, Map.of()).get(workspace);
+        return queue == null ? EMPTY : queue;
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Running.java
@@ -0,0 +1,54 @@
+package org.magnoliapick.internal.share;
+
+import org.magnoliapick.share.QueuedRequest;
+
+/** A request that was started and has not ended. */
+final class Running {
+    private final QueuedRequest mRequest;
+    private final Upstream mUpstream;
+    private final double mEstimateUnits;
+    private double mUsedUnits;
+    private long mUsedMillis;
+
+    Running(QueuedRequest request, Upstream upstream, double estimateUnits) {
+        mRequest = request;
+        mUpstream = upstream;
+        mEstimateUnits = estimateUnits;
+    }
+
+    QueuedRequest request() {
+        return mRequest;
+    }
+
+    Upstream upstream() {
+        return mUpstream;
+    }
+
+    double estimateUnits() {
+        return mEstimateUnits;
+    }
+
+    /** Returns what it has used so far, in service units. */
+    double usedUnits() {
+        return mUsedUnits;
+    }
+
+    /** Returns what it is still expected to use, in service units. */
+    double remainingUnits() {
+        return Math.max(0, mEstimateUnits - mUsedUnits);
+    }
+
+    /** Takes what it has used so far; returns the increase, which is never negative. */
+    double use(double usedUnits) {
+        double increase = Math.max(0, Units.ofRequest(usedUnits) - mUsedUnits);
+        mUsedUnits += increase;
+        return increase;
+    }
+
+    /** Returns the time since the previous call in milliseconds, or 0 at the first one. */
+    long lapMillis(long nowMillis) {
+        long lap = mUsedMillis == 0 ? 0 : nowMillis - mUsedMillis;
+        mUsedMillis = nowMillis;
+        return Math.max(0, lap);
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/SlotLimit.java
@@ -0,0 +1,98 @@
+package org.magnoliapick.internal.share;
+
+import org.magnoliapick.config.TargetConfig;
+import org.magnoliapick.share.LoadReport;
+
+/**
+ * How many requests one upstream gets at once: a full batch with almost nothing queued inside it.
+ * It follows load reports, which may be late, and the observed time between tokens.
+ */
+final class SlotLimit {
+    private static final long REPORT_STOPPED_MILLIS = 5_000;
+    private static final long GAP_SETTLE_MILLIS = 1_000;
+    private static final double GAP_MEMORY = 0.9;
+    private static final double GAP_STEP_RATIO = 0.05;
+
+    private int mLimit = TargetConfig.DEFAULT_MAX_CONCURRENT;
+    private int mConfiguredMax = TargetConfig.DEFAULT_MAX_CONCURRENT;
+    private int mReportedMax = Integer.MAX_VALUE;
+    private long mGapTargetMillis;
+    private double mGapMillis;
+    private long mLastTakenMillis;
+    private long mLastReceivedMillis;
+    private long mLastChangeMillis;
+
+    /** Takes the bounds of the configuration; a gap target of 0 is none. */
+    void setBounds(int maxConcurrent, long tokenGapTargetMillis) {
+        int max = Math.max(1, maxConcurrent);
+        if (max != mConfiguredMax) {
+            mLimit = mLimit == mConfiguredMax ? max : Math.min(mLimit, max);
+            mConfiguredMax = max;
+        }
+        mGapTargetMillis = tokenGapTargetMillis;
+    }
+
+    /**
+     * Takes a load report. A report taken before the last change says nothing about the present
+     * limit and is only noted.
+     */
+    void report(LoadReport report, long nowMillis) {
+        long takenMillis = Math.min(report.takenAtMillis(), nowMillis);
+        mLastReceivedMillis = nowMillis;
+        if (takenMillis <= mLastTakenMillis) {
+            return;
+        }
+        mLastTakenMillis = takenMillis;
+        if (report.maxRunning() > 0) {
+            mReportedMax = report.maxRunning();
+        }
+        if (takenMillis > mLastChangeMillis) {
+            adapt(report, nowMillis);
+        }
+        setLimit(mLimit, mLastChangeMillis);
+    }
+
+    /** Takes the observed time between two tokens of one answer, in milliseconds. */
+    void gapObserved(double gapMillis, long nowMillis) {
+        if (mGapTargetMillis <= 0 || !(gapMillis >= 0) || Double.isInfinite(gapMillis)) {
+            return;
+        }
+        mGapMillis =
+                mGapMillis == 0
+                        ? gapMillis
+                        : GAP_MEMORY * mGapMillis + (1 - GAP_MEMORY) * gapMillis;
+        if (gapTooLong() && nowMillis - mLastChangeMillis >= GAP_SETTLE_MILLIS) {
+            int step = Math.max(1, (int) (mLimit * GAP_STEP_RATIO));
+            setLimit(mLimit - step, nowMillis);
+        }
+    }
+
+    /** Returns the limit; it is halved while load reports that used to come have stopped. */
+    int limit(long nowMillis) {
+        boolean stopped =
+                mLastReceivedMillis > 0 && nowMillis - mLastReceivedMillis > REPORT_STOPPED_MILLIS;
+        return stopped ? Math.max(1, mLimit / 2) : mLimit;
+    }
+
+    private void adapt(LoadReport report, long nowMillis) {
+        int running = Math.max(0, report.running());
+        int waiting = Math.max(0, report.waiting());
+        if (waiting > 0) {
+            setLimit(Math.min(mLimit, Math.max(running, mLimit - waiting)), nowMillis);
+        } else if (running >= mLimit && !gapTooLong()) {
+            setLimit(mLimit + 1, nowMillis);
+        }
+    }
+
+    private boolean gapTooLong() {
+        return mGapTargetMillis > 0 && mGapMillis > mGapTargetMillis;
+    }
+
+    private void setLimit(int limit, long nowMillis) {
+        int bounded = Math.max(1, Math.min(limit, Math.min(mConfiguredMax, mReportedMax)));
+        if (bounded != mLimit) {
+            mLimit = bounded;
+            mLastChangeMillis = nowMillis;
+        }
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/StaticSplitNode.java
@@ -0,0 +1,65 @@
+package org.magnoliapick.internal.share;
+
+import java.util.List;
+import java.util.Optional;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.member.FleetView;
+import org.magnoliapick.record.Cause;
+import org.magnoliapick.share.EndOfAttempt;
+import org.magnoliapick.share.ShareAction;
+import org.magnoliapick.share.ShareMessage;
+import org.magnoliapick.share.ShareSettings;
+
+/** Weighted fair queueing on a static split of each upstream's slots, without any messages. */
+public final class StaticSplitNode extends BaseShareNode {
+    private final StaticShare mShare;
+
+    /** Creates the node of one entry instance. */
+    public StaticSplitNode(ShareSettings settings) {
+        super(settings);
+        mShare = new StaticShare(upstreams(), settings.domain());
+    }
+
+    @Override
+    public List<ShareAction> viewChanged(FleetView view, long nowMillis) {
+        mShare.setView(view);
+        return super.viewChanged(view, nowMillis);
+    }
+
+    @Override
+    public List<ShareAction> receive(
+            InstanceId from, long incarnation, ShareMessage message, long nowMillis) {
+        return List.of();
+    }
+
+    @Override
+    public List<ShareAction> leave(long nowMillis) {
+        return List.of();
+    }
+
+    @Override
+    void pump(String target, long nowMillis) {
+        Optional<LocalScheduler.Choice> choice = local().next(target, mShare.at(nowMillis));
+        while (choice.isPresent()) {
+            Upstream upstream = choice.get().upstream();
+            start(choice.get().waiting(), upstream, Cause.LEAST_LOADED, nowMillis);
+            choice = local().next(target, mShare.at(nowMillis));
+        }
+    }
+
+    @Override
+    void queueChanged(String target, WorkspaceId workspace, long nowMillis) {}
+
+    @Override
+    void started(Running running, long nowMillis) {}
+
+    @Override
+    void used(Running running, double increase, double remainingBefore, long nowMillis) {}
+
+    @Override
+    void ended(Running running, EndOfAttempt end, long nowMillis) {}
+
+    @Override
+    void ticked(long nowMillis) {}
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/UpstreamTable.java
@@ -0,0 +1,59 @@
+package org.magnoliapick.internal.share;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.magnoliapick.config.FleetConfig;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.member.FleetView;
+import org.magnoliapick.member.UpstreamMember;
+
+/** The upstreams that one instance knows. */
+final class UpstreamTable {
+    private final Map<UpstreamId, Upstream> mById = new TreeMap<>();
+    private FleetConfig mConfig = FleetConfig.EMPTY;
+
+    /** Takes a new view; one that is gone is kept until its last request here has ended. */
+    void setView(FleetView view) {
+        Set<UpstreamId> listed = new HashSet<>();
+        for (UpstreamMember member : view.upstreams()) {
+            listed.add(member.id());
+            Upstream upstream = mById.computeIfAbsent(member.id(), id -> new Upstream(member));
+            upstream.setMember(member);
+            upstream.setConfig(mConfig);
+        }
+        mById.values().removeIf(known -> !listed.contains(known.id()) && known.inFlight() == 0);
+        mById.values().stream()
+                .filter(known -> !listed.contains(known.id()))
+                .forEach(Upstream::setGone);
+    }
+
+    void setConfig(FleetConfig config) {
+        mConfig = config;
+        mById.values().forEach(upstream -> upstream.setConfig(config));
+    }
+
+    Optional<Upstream> find(UpstreamId id) {
+        return Optional.ofNullable(mById.get(id));
+    }
+
+    /** Returns the upstreams that may get new work for a target, ordered by name. */
+    List<Upstream> serving(String target) {
+        List<Upstream> found = new ArrayList<>();
+        for (Upstream upstream : mById.values()) {
+            if (upstream.serves(target)) {
+                found.add(upstream);
+            }
+        }
+        return found;
+    }
+
+    /** Returns all upstreams, ordered by name. */
+    Iterable<Upstream> all() {
+        return mById.values();
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/share/SharePolicy.java
@@ -0,0 +1,17 @@
+package org.magnoliapick.share;
+
+import org.magnoliapick.internal.share.StaticSplitNode;
+
+/** The ways to share capacity that can be chosen in the settings. */
+public enum SharePolicy {
+    /** Each instance orders its own requests on an equal part of each upstream's slots. */
+    STATIC_SPLIT {
+        @Override
+        public ShareNode create(ShareSettings settings) {
+            return new StaticSplitNode(settings);
+        }
+    };
+
+    /** Creates the node of one entry instance. */
+    public abstract ShareNode create(ShareSettings settings);
+}
