--- a/bin/lib/run-java.sh
+++ b/bin/lib/run-java.sh
@@ -4,7 +4,8 @@
 JAR_DIR="$ROOT_DIR/magnoliapick-dist/target/lib"
 
 # Small processes: little heap, one collector thread, quick start.
-SMALL_JAVA_OPTIONS=(-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss512k)
+SMALL_JAVA_OPTIONS=(-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss512k
+    "-Dlogback.configurationFile=$ROOT_DIR/bin/lib/logback.xml")
 
 # Builds the jars unless they are there.
 build_if_needed() {
