Sum decisions up and tell why requests waited

Cause: decision records had nowhere to go and nobody could ask why a request was late.

Change: a bounded ring of decisions; summaries per workspace and 5 s window with waiting split by cause, who was ahead, backlogged ranges and objective counts; a history of one hour that counts a repeated batch once; the story of a request whose parts add up to its latency, the story of a workspace, the comparison of two workspaces and the burn calculation. Causes gain a phrase.

Conclusion: the router hands records in and gives RequestEnd at the end of a request.

--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/record/StepText.java
@@ -0,0 +1,78 @@
+package org.magnoliapick.record;
+
+import org.magnoliapick.lib.WorkspaceId;
+
+/** The plain sentence for a decision of each kind, without its time and numbers. */
+enum StepText {
+    ADMISSION {
+        @Override
+        String sentence(DecisionRecord decision) {
+            return "it was accepted and queued";
+        }
+    },
+    QUEUE {
+        @Override
+        String sentence(DecisionRecord decision) {
+            return "it had waited because " + because(decision);
+        }
+    },
+    GRANT {
+        @Override
+        String sentence(DecisionRecord decision) {
+            return "its workspace got a slot because " + because(decision);
+        }
+    },
+    UPSTREAM_CHOICE {
+        @Override
+        String sentence(DecisionRecord decision) {
+            String upstream = decision.upstream().map(Object::toString).orElse("no upstream");
+            return decision.cause() == Cause.EJECTED
+                    ? upstream + " was ejected after failures"
+                    : "it was sent to " + upstream + " because " + because(decision);
+        }
+    },
+    RETRY {
+        @Override
+        String sentence(DecisionRecord decision) {
+            return "a repetition was decided because " + because(decision);
+        }
+    },
+    REFUSAL {
+        @Override
+        String sentence(DecisionRecord decision) {
+            return "it was refused because " + because(decision);
+        }
+    },
+    END {
+        @Override
+        String sentence(DecisionRecord decision) {
+            return decision.cause() == Cause.COMPLETED
+                    ? "the caller had its whole answer"
+                    : "it ended without a whole answer because " + because(decision);
+        }
+    },
+    DRAIN {
+        @Override
+        String sentence(DecisionRecord decision) {
+            return "a member was leaving: " + because(decision);
+        }
+    },
+    ORDER {
+        @Override
+        String sentence(DecisionRecord decision) {
+            return "an engine got an order: " + because(decision);
+        }
+    };
+
+    static StepText of(Step step) {
+        return valueOf(step.name());
+    }
+
+    abstract String sentence(DecisionRecord decision);
+
+    private static String because(DecisionRecord decision) {
+        String ahead =
+                decision.ahead().map(WorkspaceId::value).map(it -> " (" + it + ")").orElse("");
+        return decision.cause().phrase() + ahead;
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/record/SummaryBuilder.java
@@ -0,0 +1,107 @@
+package org.magnoliapick.record;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliapick.config.FleetConfig;
+import org.magnoliapick.config.Objective;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.WorkspaceId;
+
+/** Sums decisions up per workspace and window of time. Used by one thread at a time. */
+public final class SummaryBuilder {
+    /** The length of a window, in milliseconds. */
+    public static final long WINDOW_MILLIS = 5_000;
+
+    private final InstanceId mInstance;
+    private Map<WorkspaceId, WaitSummary> mWorkspaces = new HashMap<>();
+    private long mWindowStartMillis;
+
+    /** Creates a builder whose first window holds the given time. */
+    public SummaryBuilder(InstanceId instance, long nowMillis) {
+        mInstance = instance;
+        mWindowStartMillis = windowStart(nowMillis);
+    }
+
+    /** Adds a decision to the present window. */
+    public void add(DecisionRecord decision, FleetConfig config) {
+        if (decision.workspace().isEmpty()) {
+            return;
+        }
+        WaitSummary summary = summaryOf(decision, config);
+        if (summary != WaitSummary.NONE) {
+            mWorkspaces.merge(decision.workspace().get(), summary, WaitSummary::plus);
+        }
+    }
+
+    /** Returns the present window's batch and begins the next, if the window is over. */
+    public Optional<SummaryBatch> roll(long nowMillis, long configOffset) {
+        if (nowMillis < mWindowStartMillis + WINDOW_MILLIS) {
+            return Optional.empty();
+        }
+        SummaryBatch batch = present(configOffset);
+        mWorkspaces = new HashMap<>();
+        mWindowStartMillis = windowStart(nowMillis);
+        return batch.workspaces().isEmpty() ? Optional.empty() : Optional.of(batch);
+    }
+
+    /** Returns the batch of the present window as far as it goes. */
+    public SummaryBatch present(long configOffset) {
+        TimeRange window = new TimeRange(mWindowStartMillis, mWindowStartMillis + WINDOW_MILLIS);
+        return new SummaryBatch(mInstance, window, configOffset, mWorkspaces);
+    }
+
+    private static WaitSummary summaryOf(DecisionRecord decision, FleetConfig config) {
+        if (decision.step() == Step.ADMISSION && decision.cause() == Cause.ADMITTED) {
+            return new WaitSummary(1, 0, 0, Map.of(), Map.of(), Map.of(), List.of(), Map.of());
+        }
+        if (decision.step() == Step.QUEUE) {
+            return waited(decision);
+        }
+        if (decision.step() == Step.REFUSAL) {
+            Map<Cause, Long> refused = Map.of(decision.cause(), 1L);
+            return new WaitSummary(0, 0, 0, Map.of(), Map.of(), refused, List.of(), Map.of());
+        }
+        return RequestEnd.of(decision).map(end -> ended(end, config)).orElse(WaitSummary.NONE);
+    }
+
+    private static WaitSummary waited(DecisionRecord decision) {
+        long waitedMillis =
+                decision.numbers().getOrDefault(NumberNames.WAITED_MILLIS, 0.0).longValue();
+        if (waitedMillis <= 0) {
+            return WaitSummary.NONE;
+        }
+        Map<WorkspaceId, Long> ahead = new HashMap<>();
+        decision.ahead().ifPresent(id -> ahead.put(id, waitedMillis));
+        TimeRange range = new TimeRange(decision.atMillis() - waitedMillis, decision.atMillis());
+        return new WaitSummary(
+                0,
+                0,
+                0,
+                Map.of(decision.cause(), waitedMillis),
+                ahead,
+                Map.of(),
+                List.of(range),
+                Map.of());
+    }
+
+    private static WaitSummary ended(RequestEnd end, FleetConfig config) {
+        Optional<Objective> objective = config.objective(end.workspace(), end.requestClass());
+        return new WaitSummary(
+                0,
+                1,
+                end.usedUnits(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                List.of(),
+                objective
+                        .map(it -> Map.of(end.requestClass(), LevelCounts.of(end, it)))
+                        .orElse(Map.of()));
+    }
+
+    private static long windowStart(long nowMillis) {
+        return Math.floorDiv(nowMillis, WINDOW_MILLIS) * WINDOW_MILLIS;
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/record/SummaryHistory.java
@@ -0,0 +1,55 @@
+package org.magnoliapick.record;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.WorkspaceId;
+
+/**
+ * The batches of the last hour, at most one per instance and window, so that a batch that comes
+ * twice counts once. Used by one thread at a time.
+ */
+public final class SummaryHistory {
+    /** How long batches are kept, in milliseconds. */
+    public static final long KEPT_MILLIS = 3_600_000;
+
+    private final TreeMap<Long, Map<InstanceId, SummaryBatch>> mBatches = new TreeMap<>();
+
+    /** Adds a batch; for the same instance and window the one with more requests stays. */
+    public void add(SummaryBatch batch) {
+        mBatches.computeIfAbsent(batch.window().fromMillis(), start -> new HashMap<>())
+                .merge(batch.instance(), batch, SummaryHistory::fuller);
+    }
+
+    /** Forgets what is older than an hour. */
+    public void expire(long nowMillis) {
+        mBatches.headMap(nowMillis - KEPT_MILLIS).clear();
+    }
+
+    /** Returns the batches of windows that begin at or after a time, oldest first. */
+    public List<SummaryBatch> since(long fromMillis) {
+        List<SummaryBatch> found = new ArrayList<>();
+        mBatches.tailMap(fromMillis).values().forEach(each -> found.addAll(each.values()));
+        return found;
+    }
+
+    /** Sums a workspace up over all instances since a time. */
+    public WaitSummary summary(WorkspaceId workspace, long fromMillis) {
+        return since(fromMillis).stream()
+                .map(batch -> batch.workspaces().getOrDefault(workspace, WaitSummary.NONE))
+                .reduce(WaitSummary.NONE, WaitSummary::plus);
+    }
+
+    private static SummaryBatch fuller(SummaryBatch one, SummaryBatch other) {
+        return requests(one) >= requests(other) ? one : other;
+    }
+
+    private static long requests(SummaryBatch batch) {
+        return batch.workspaces().values().stream()
+                .mapToLong(each -> each.admitted() + each.ended())
+                .sum();
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/record/WaitSummary.java
@@ -0,0 +1,77 @@
+package org.magnoliapick.record;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BinaryOperator;
+import org.magnoliapick.lib.RequestClass;
+import org.magnoliapick.lib.WorkspaceId;
+
+/**
+ * What happened to the requests of one workspace in one span of time.
+ *
+ * @param admitted the requests queued
+ * @param ended the requests that ended after they were started
+ * @param usedUnits the service that the ended requests used
+ * @param waitedMillis the time that started requests had waited, by cause
+ * @param aheadMillis the part of that time spent behind other workspaces, by workspace
+ * @param refused the requests refused, by cause
+ * @param backlogged when at least one request waited
+ * @param levels the requests that met and missed the objective of their class
+ */
+public record WaitSummary(
+        long admitted,
+        long ended,
+        double usedUnits,
+        Map<Cause, Long> waitedMillis,
+        Map<WorkspaceId, Long> aheadMillis,
+        Map<Cause, Long> refused,
+        List<TimeRange> backlogged,
+        Map<RequestClass, LevelCounts> levels) {
+    /** Nothing happened. */
+    public static final WaitSummary NONE =
+            new WaitSummary(0, 0, 0, Map.of(), Map.of(), Map.of(), List.of(), Map.of());
+
+    /** Copies the collections. */
+    public WaitSummary {
+        waitedMillis = Map.copyOf(waitedMillis);
+        aheadMillis = Map.copyOf(aheadMillis);
+        refused = Map.copyOf(refused);
+        backlogged = List.copyOf(backlogged);
+        levels = Map.copyOf(levels);
+    }
+
+    /** Adds what happened at another instance or in another span of time. */
+    public WaitSummary plus(WaitSummary other) {
+        List<TimeRange> ranges = new ArrayList<>(backlogged);
+        ranges.addAll(other.backlogged);
+        return new WaitSummary(
+                admitted + other.admitted,
+                ended + other.ended,
+                usedUnits + other.usedUnits,
+                merged(waitedMillis, other.waitedMillis, new EnumMap<>(Cause.class), Long::sum),
+                merged(aheadMillis, other.aheadMillis, new HashMap<>(), Long::sum),
+                merged(refused, other.refused, new EnumMap<>(Cause.class), Long::sum),
+                TimeRange.union(ranges),
+                merged(levels, other.levels, new EnumMap<>(RequestClass.class), LevelCounts::plus));
+    }
+
+    /** Returns the whole time waited, in milliseconds. */
+    public long totalWaitedMillis() {
+        return waitedMillis.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    /** Returns how long at least one request waited, in milliseconds. */
+    public long backloggedMillis() {
+        return backlogged.stream().mapToLong(TimeRange::lengthMillis).sum();
+    }
+
+    private static <K, V> Map<K, V> merged(
+            Map<K, V> left, Map<K, V> right, Map<K, V> into, BinaryOperator<V> add) {
+        into.putAll(left);
+        right.forEach((key, value) -> into.merge(key, value, add));
+        return into;
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/record/WorkspaceComparison.java
@@ -0,0 +1,136 @@
+package org.magnoliapick.record;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.magnoliapick.config.FleetConfig;
+import org.magnoliapick.config.WorkspaceConfig;
+import org.magnoliapick.lib.WorkspaceId;
+
+/**
+ * Why one workspace got less service than another.
+ *
+ * @param left the one
+ * @param right the other
+ * @param commonMillis how long both had requests waiting
+ * @param gapUnits by how much the normalised service of the left one exceeds that of the right one
+ *     in the windows in which both had requests waiting; negative if it falls short
+ * @param sentences the comparison in plain sentences
+ */
+public record WorkspaceComparison(
+        Side left, Side right, long commonMillis, double gapUnits, List<String> sentences) {
+    /**
+     * One of the two workspaces.
+     *
+     * @param workspace its name
+     * @param team its team
+     * @param teamWeight its team's weight
+     * @param weight its weight within the team
+     * @param usedUnits the service it used in the whole time
+     * @param commonUnits the service it used in windows in which both had requests waiting
+     * @param normalisedUnits that service divided by its share in each window
+     * @param backloggedMillis how long it had requests waiting
+     */
+    public record Side(
+            String workspace,
+            String team,
+            double teamWeight,
+            double weight,
+            double usedUnits,
+            double commonUnits,
+            double normalisedUnits,
+            long backloggedMillis) {}
+
+    /** Copies the sentences. */
+    public WorkspaceComparison {
+        sentences = List.copyOf(sentences);
+    }
+
+    /** Compares two workspaces over some windows. */
+    public static WorkspaceComparison of(
+            WorkspaceId left, WorkspaceId right, List<FleetWindow> windows, FleetConfig config) {
+        WaitSummary leftAll = sum(left, windows);
+        WaitSummary rightAll = sum(right, windows);
+        List<FleetWindow> common =
+                windows.stream()
+                        .filter(each -> isBacklogged(leftAll, each) && isBacklogged(rightAll, each))
+                        .toList();
+        Side one = side(left, leftAll, common, config);
+        Side other = side(right, rightAll, common, config);
+        long commonMillis = TimeRange.commonMillis(leftAll.backlogged(), rightAll.backlogged());
+        double gapUnits = one.normalisedUnits() - other.normalisedUnits();
+        List<String> sentences = sentences(one, other, commonMillis, gapUnits);
+        return new WorkspaceComparison(one, other, commonMillis, gapUnits, sentences);
+    }
+
+    private static WaitSummary sum(WorkspaceId workspace, List<FleetWindow> windows) {
+        return windows.stream()
+                .map(each -> each.summary(workspace))
+                .reduce(WaitSummary.NONE, WaitSummary::plus);
+    }
+
+    private static boolean isBacklogged(WaitSummary summary, FleetWindow window) {
+        return TimeRange.commonMillis(summary.backlogged(), List.of(window.range())) > 0;
+    }
+
+    private static Side side(
+            WorkspaceId workspace, WaitSummary all, List<FleetWindow> common, FleetConfig config) {
+        double commonUnits = 0;
+        double normalisedUnits = 0;
+        for (FleetWindow window : common) {
+            double units = window.summary(workspace).usedUnits();
+            commonUnits += units;
+            normalisedUnits += units / window.weight(workspace, config);
+        }
+        String team = config.workspace(workspace).map(WorkspaceConfig::team).orElse("unknown");
+        double weight =
+                config.workspace(workspace)
+                        .map(WorkspaceConfig::weight)
+                        .orElse(FleetConfig.DEFAULT_WEIGHT);
+        return new Side(
+                workspace.value(),
+                team,
+                config.teamWeight(team),
+                weight,
+                all.usedUnits(),
+                commonUnits,
+                normalisedUnits,
+                all.backloggedMillis());
+    }
+
+    private static List<String> sentences(
+            Side one, Side other, long commonMillis, double gapUnits) {
+        List<String> sentences = new ArrayList<>();
+        sentences.add(sentence(one));
+        sentences.add(sentence(other));
+        if (commonMillis == 0) {
+            sentences.add(
+                    "They never had requests waiting at the same time, so neither took service"
+                            + " from the other.");
+            return sentences;
+        }
+        String leader = gapUnits >= 0 ? one.workspace() : other.workspace();
+        sentences.add(
+                String.format(
+                        Locale.ROOT,
+                        "Both had requests waiting for %d ms; for its weight %s got %.1f units"
+                                + " more in that time.",
+                        commonMillis,
+                        leader,
+                        Math.abs(gapUnits)));
+        return sentences;
+    }
+
+    private static String sentence(Side side) {
+        return String.format(
+                Locale.ROOT,
+                "%s (team %s with weight %s, own weight %s) used %.1f units and had requests"
+                        + " waiting for %d ms.",
+                side.workspace(),
+                side.team(),
+                side.teamWeight(),
+                side.weight(),
+                side.usedUnits(),
+                side.backloggedMillis());
+    }
+}
