--- /dev/null
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/request/RequestMachineTest.java
@@ -0,0 +1,340 @@
+package org.magnoliapick.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.magnoliapick.claim.ClaimOutcome;
+import org.magnoliapick.claim.ClaimVerdict;
+import org.magnoliapick.errors.ErrorKind;
+import org.magnoliapick.lib.AttemptId;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.share.EndOfAttempt;
+
+final class RequestMachineTest {
+    private static final long DEADLINE_MILLIS = 10_000;
+    private static final AttemptId CLAIM = new AttemptId("claim");
+    private static final AttemptId FIRST = new AttemptId("first");
+    private static final AttemptId SECOND = new AttemptId("second");
+    private static final UpstreamId UPSTREAM_A = new UpstreamId("a");
+    private static final UpstreamId UPSTREAM_B = new UpstreamId("b");
+
+    private final List<RequestAction> mActions = new ArrayList<>();
+
+    @Test
+    void streamIsRelayedChunkByChunkAndEndsWhole() {
+        RequestMachine machine = answering(idempotent(), 2);
+
+        on(machine, new RequestEvent.EndSeen(FIRST));
+
+        assertThat(mActions)
+                .containsSubsequence(
+                        new RequestAction.RelayHead(FIRST),
+                        new RequestAction.RelayChunk(FIRST, 0),
+                        new RequestAction.RelayChunk(FIRST, 1),
+                        new RequestAction.AnswerWhole(FIRST),
+                        new RequestAction.ReleaseSlot(EndOfAttempt.WHOLE));
+        assertThat(machine.state()).isEqualTo(RequestState.WHOLE);
+    }
+
+    @Test
+    void lostAttemptIsRetriedElsewhereIfIdempotent() {
+        RequestMachine machine = sent(idempotent());
+
+        on(machine, new RequestEvent.AttemptFailed(FIRST, AttemptEnd.LOST_BEFORE_HEAD));
+
+        assertThat(mActions).endsWith(new RequestAction.Submit(Set.of(UPSTREAM_A)));
+    }
+
+    @Test
+    void grantAtTheUpstreamThatJustFailedIsHandedBack() {
+        RequestMachine machine = sent(idempotent());
+        on(machine, new RequestEvent.AttemptFailed(FIRST, AttemptEnd.LOST_BEFORE_HEAD));
+
+        mActions.clear();
+        on(machine, new RequestEvent.SlotGranted(UPSTREAM_A, SECOND));
+
+        assertThat(mActions)
+                .containsExactly(
+                        new RequestAction.ReleaseSlot(EndOfAttempt.CANCELLED),
+                        new RequestAction.Submit(Set.of(UPSTREAM_A)));
+    }
+
+    @Test
+    void refusalAfterALostAttemptIsNotCalledNotRun() {
+        RequestMachine machine = sent(idempotent());
+        on(machine, new RequestEvent.AttemptFailed(FIRST, AttemptEnd.LOST_BEFORE_HEAD));
+
+        on(machine, new RequestEvent.Refused(ErrorKind.WORKSPACE_QUEUE_FULL, 2_000));
+
+        assertThat(error().kind()).isEqualTo(ErrorKind.UPSTREAM_LOST);
+    }
+
+    @Test
+    void deadlineOfARetryIsNotCalledNotRun() {
+        RequestMachine machine = sent(idempotent());
+        on(machine, new RequestEvent.AttemptFailed(FIRST, AttemptEnd.LOST_BEFORE_HEAD));
+
+        machine.on(new RequestEvent.DeadlinePassed(), DEADLINE_MILLIS).forEach(mActions::add);
+
+        assertThat(error().kind()).isEqualTo(ErrorKind.DEADLINE_AFTER_START);
+    }
+
+    @Test
+    void nonIdempotentRequestIsNeverSentAgainOnceSent() {
+        for (AttemptEnd end : AttemptEnd.values()) {
+            mActions.clear();
+            RequestMachine machine = sent(unclaimed());
+            on(machine, new RequestEvent.AttemptFailed(FIRST, end));
+            boolean requeued = machine.state() == RequestState.QUEUED;
+            assertThat(requeued).as(end.name()).isEqualTo(end == AttemptEnd.NOT_SENT);
+        }
+    }
+
+    @Test
+    void endIsCalledNotRunOnlyOnProof() {
+        for (AttemptEnd end : AttemptEnd.values()) {
+            mActions.clear();
+            RequestMachine machine = new RequestMachine(unclaimed(), now -> false);
+            send(machine);
+            on(machine, new RequestEvent.AttemptFailed(FIRST, end));
+            boolean notRun = error().kind() == ErrorKind.UPSTREAM_REFUSED;
+            assertThat(notRun).as(end.name()).isEqualTo(end.provesNotRun());
+        }
+    }
+
+    @Test
+    void cutStreamIsResumedAtItsOffsetInTheSameAttempt() {
+        RequestMachine machine = answering(idempotent(), 2);
+
+        on(machine, new RequestEvent.AttemptFailed(FIRST, AttemptEnd.CUT));
+
+        assertThat(mActions).endsWith(new RequestAction.ResumeAttempt(FIRST, UPSTREAM_A, 2));
+    }
+
+    @Test
+    void chunksRepeatedByAResumeAreDropped() {
+        RequestMachine machine = answering(idempotent(), 2);
+        on(machine, new RequestEvent.AttemptFailed(FIRST, AttemptEnd.CUT));
+
+        mActions.clear();
+        on(machine, new RequestEvent.ChunkReceived(FIRST, 1));
+        on(machine, new RequestEvent.ChunkReceived(FIRST, 2));
+
+        assertThat(mActions).containsExactly(new RequestAction.RelayChunk(FIRST, 2));
+    }
+
+    @Test
+    void gapInAStreamFailsItOpenly() {
+        RequestMachine machine = answering(idempotent(), 2);
+
+        on(machine, new RequestEvent.ChunkReceived(FIRST, 3));
+
+        assertThat(error().kind()).isEqualTo(ErrorKind.ANSWER_BROKEN);
+        assertThat(error().midStream()).isTrue();
+        assertThat(mActions).contains(new RequestAction.CancelAttempt(FIRST, UPSTREAM_A));
+    }
+
+    @Test
+    void streamIsNotTriedAgainOnceRelayed() {
+        RequestMachine machine = answering(idempotent(), 1);
+
+        on(machine, new RequestEvent.AttemptFailed(FIRST, AttemptEnd.MALFORMED));
+
+        assertThat(machine.state()).isEqualTo(RequestState.FAILED);
+    }
+
+    @Test
+    void wholeAnswerIsHeldUntilItsEndMark() {
+        RequestPlan plan = new RequestPlan(true, false, false, Optional.empty(), DEADLINE_MILLIS);
+        RequestMachine machine = answering(plan, 1);
+        assertThat(mActions).contains(new RequestAction.HoldChunk(FIRST, 0));
+        assertThat(mActions).doesNotContain(new RequestAction.RelayHead(FIRST));
+
+        on(machine, new RequestEvent.AttemptFailed(FIRST, AttemptEnd.CUT));
+
+        assertThat(machine.state()).isEqualTo(RequestState.QUEUED);
+    }
+
+    @Test
+    void eventsOfAnOldAttemptAreDroppedAndCounted() {
+        RequestMachine machine = sent(idempotent());
+        on(machine, new RequestEvent.AttemptFailed(FIRST, AttemptEnd.LOST_BEFORE_HEAD));
+        on(machine, new RequestEvent.SlotGranted(UPSTREAM_B, SECOND));
+        on(machine, new RequestEvent.SendBegins(SECOND));
+
+        mActions.clear();
+        on(machine, new RequestEvent.HeadReceived(FIRST));
+        on(machine, new RequestEvent.ChunkReceived(FIRST, 0));
+        on(machine, new RequestEvent.EndSeen(FIRST));
+
+        assertThat(mActions).isEmpty();
+        assertThat(machine.strayEvents()).isEqualTo(3);
+    }
+
+    @Test
+    void deadlineBetweenGrantAndSendIsNotRunAndForbidsSending() {
+        RequestMachine machine = granted(unclaimed());
+        mActions.addAll(machine.on(new RequestEvent.DeadlinePassed(), DEADLINE_MILLIS));
+
+        assertThat(error().kind()).isEqualTo(ErrorKind.DEADLINE_BEFORE_START);
+        assertThat(machine.on(new RequestEvent.SendBegins(FIRST), DEADLINE_MILLIS)).isEmpty();
+    }
+
+    @Test
+    void processThatPausedPastTheDeadlineDoesNotSend() {
+        RequestMachine machine = granted(unclaimed());
+
+        mActions.addAll(machine.on(new RequestEvent.SendBegins(FIRST), DEADLINE_MILLIS + 1));
+
+        assertThat(mActions).doesNotContain(new RequestAction.Send(FIRST, UPSTREAM_A));
+        assertThat(error().kind()).isEqualTo(ErrorKind.DEADLINE_BEFORE_START);
+    }
+
+    @Test
+    void claimIsWonBeforeARequestQueues() {
+        RequestMachine machine = claiming();
+        assertThat(mActions).containsExactly(new RequestAction.AppendClaim(CLAIM));
+
+        on(machine, new RequestEvent.ClaimDecided(new ClaimVerdict.Won()));
+
+        assertThat(machine.state()).isEqualTo(RequestState.QUEUED);
+    }
+
+    @Test
+    void claimWonAfterARefusalIsNotRun() {
+        RequestMachine machine = claiming();
+        on(machine, new RequestEvent.Refused(ErrorKind.LOG_UNAVAILABLE, 5_000));
+        assertThat(mActions)
+                .contains(new RequestAction.RecordClaimOutcome(CLAIM, ClaimOutcome.NOT_RUN));
+
+        mActions.clear();
+        on(machine, new RequestEvent.ClaimDecided(new ClaimVerdict.Won()));
+
+        assertThat(mActions).isEmpty();
+        assertThat(machine.strayEvents()).isEqualTo(1);
+    }
+
+    @Test
+    void keptAnswerIsFetchedFromTheHolder() {
+        RequestMachine machine = claiming();
+        InstanceId holder = new InstanceId("r2");
+        on(machine, new RequestEvent.ClaimDecided(new ClaimVerdict.AlreadyRun(holder, FIRST)));
+        assertThat(mActions).endsWith(new RequestAction.FetchKeptAnswer(holder, FIRST));
+
+        on(machine, new RequestEvent.KeptAnswerFound());
+
+        assertThat(mActions).endsWith(new RequestAction.AnswerKept());
+    }
+
+    @Test
+    void claimThatLostRecordsNoOutcome() {
+        RequestMachine machine = claiming();
+        InstanceId holder = new InstanceId("r2");
+
+        on(machine, new RequestEvent.ClaimDecided(new ClaimVerdict.InProgress(holder)));
+
+        assertThat(mActions.get(mActions.size() - 1)).isEqualTo(error());
+        assertThat(error().kind()).isEqualTo(ErrorKind.CLAIM_IN_PROGRESS);
+    }
+
+    @Test
+    void claimedRequestGoesOnWhenItsCallerLeaves() {
+        RequestMachine machine = claiming();
+        on(machine, new RequestEvent.ClaimDecided(new ClaimVerdict.Won()));
+        send(machine);
+        on(machine, new RequestEvent.CallerGone());
+        on(machine, new RequestEvent.HeadReceived(FIRST));
+
+        on(machine, new RequestEvent.EndSeen(FIRST));
+
+        assertThat(mActions)
+                .endsWith(new RequestAction.RecordClaimOutcome(CLAIM, ClaimOutcome.DONE));
+    }
+
+    @Test
+    void stopRefusesWhatWaitsAndLetsTheRestEnd() {
+        RequestMachine waiting = new RequestMachine(idempotent(), now -> true);
+        on(waiting, new RequestEvent.Admitted());
+        on(waiting, new RequestEvent.Stopping());
+        assertThat(error().kind()).isEqualTo(ErrorKind.NOT_READY);
+
+        RequestMachine running = sent(idempotent());
+        on(running, new RequestEvent.Stopping());
+        assertThat(running.state()).isEqualTo(RequestState.SENT);
+    }
+
+    @Test
+    void grantThatCrossesTheEndIsHandedBack() {
+        RequestMachine machine = new RequestMachine(idempotent(), now -> true);
+        on(machine, new RequestEvent.Admitted());
+        on(machine, new RequestEvent.CallerGone());
+
+        mActions.clear();
+        on(machine, new RequestEvent.SlotGranted(UPSTREAM_A, FIRST));
+
+        assertThat(mActions).containsExactly(new RequestAction.ReleaseSlot(EndOfAttempt.CANCELLED));
+    }
+
+    private static RequestPlan idempotent() {
+        return new RequestPlan(true, true, true, Optional.empty(), DEADLINE_MILLIS);
+    }
+
+    private static RequestPlan unclaimed() {
+        return new RequestPlan(false, false, false, Optional.empty(), DEADLINE_MILLIS);
+    }
+
+    private RequestMachine claiming() {
+        RequestPlan plan =
+                new RequestPlan(false, false, false, Optional.of(CLAIM), DEADLINE_MILLIS);
+        RequestMachine machine = new RequestMachine(plan, now -> true);
+        on(machine, new RequestEvent.Admitted());
+        return machine;
+    }
+
+    private RequestMachine granted(RequestPlan plan) {
+        RequestMachine machine = new RequestMachine(plan, now -> true);
+        on(machine, new RequestEvent.Admitted());
+        on(machine, new RequestEvent.SlotGranted(UPSTREAM_A, FIRST));
+        return machine;
+    }
+
+    private RequestMachine sent(RequestPlan plan) {
+        RequestMachine machine = new RequestMachine(plan, now -> true);
+        send(machine);
+        return machine;
+    }
+
+    private RequestMachine answering(RequestPlan plan, int chunks) {
+        RequestMachine machine = sent(plan);
+        on(machine, new RequestEvent.HeadReceived(FIRST));
+        for (int index = 0; index < chunks; index++) {
+            on(machine, new RequestEvent.ChunkReceived(FIRST, index));
+        }
+        return machine;
+    }
+
+    private void send(RequestMachine machine) {
+        if (machine.state() == RequestState.RECEIVED) {
+            on(machine, new RequestEvent.Admitted());
+        }
+        on(machine, new RequestEvent.SlotGranted(UPSTREAM_A, FIRST));
+        on(machine, new RequestEvent.SendBegins(FIRST));
+    }
+
+    private void on(RequestMachine machine, RequestEvent event) {
+        mActions.addAll(machine.on(event, 0));
+    }
+
+    private RequestAction.AnswerError error() {
+        return mActions.stream()
+                .filter(RequestAction.AnswerError.class::isInstance)
+                .map(RequestAction.AnswerError.class::cast)
+                .reduce((first, last) -> last)
+                .orElseThrow();
+    }
+}
