Refuse a retry at once where no other upstream serves it

Cause: a request that its only upstream had failed waited for another one until its deadline. A trace of the whole-path test showed 20 s in the queue, then 504. Change: an excluded upstream no longer counts as serving the request. Conclusion: a request that is given up gets its final answer at once.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/BaseShareNode.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/BaseShareNode.java
@@ -65,7 +65,9 @@
         if (mQueues.contains(request.id()) || mRunning.containsKey(request.id())) {
             return List.of();
         }
-        boolean served = !mUpstreams.serving(request.target()).isEmpty();
+        boolean served =
+                mUpstreams.serving(request.target()).stream()
+                        .anyMatch(upstream -> !request.excluded().contains(upstream.id()));
         Optional<ErrorKind> refusal = mAdmission.check(request, served, nowMillis);
         if (refusal.isPresent()) {
             refuse(request, refusal.get(), nowMillis);
