Serve requests from callers to upstreams

Cause: the parts did not yet run together. Change: the entry instance. Callers' HTTP requests become request machines; one thread drives the sharing decisions; attempts, writers and platform readers are apart, so a slow caller or a slow log holds up nobody else. Claims go through the log's streams in batches, answers to them are kept and fetched from the instance that ran them. A supervisor tree restarts failed parts; SIGTERM drains. Ruled out: a claim given up at its deadline raced with the deadline itself and was told as a deadline; it now gives up before. Conclusion: the thin path runs from one end to the other.

--- /dev/null
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterSettings.java
@@ -0,0 +1,82 @@
+package org.magnoliapick.router;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.dropwizard.core.Configuration;
+import jakarta.validation.Valid;
+import jakarta.validation.constraints.NotNull;
+
+/** The settings of an entry instance, read from a YAML file. */
+public class RouterSettings extends Configuration {
+    @Valid @NotNull private InstanceSettings mInstance;
+    @Valid @NotNull private PeerSettings mPeers;
+    @Valid @NotNull private PlatformAddresses mPlatform;
+    @Valid @NotNull private LimitSettings mLimits = new LimitSettings();
+    @Valid @NotNull private SharingSettings mSharing = new SharingSettings();
+    @Valid @NotNull private ClaimSettings mClaims = new ClaimSettings();
+
+    /** Returns who and where this instance is. */
+    @JsonProperty("instance")
+    public InstanceSettings instance() {
+        return mInstance;
+    }
+
+    /** Returns how this instance talks with the others. */
+    @JsonProperty("peers")
+    public PeerSettings peers() {
+        return mPeers;
+    }
+
+    /** Returns where the platform's services listen. */
+    @JsonProperty("platform")
+    public PlatformAddresses platform() {
+        return mPlatform;
+    }
+
+    /** Returns the limits on what callers may use. */
+    @JsonProperty("limits")
+    public LimitSettings limits() {
+        return mLimits;
+    }
+
+    /** Returns how capacity is shared. */
+    @JsonProperty("sharing")
+    public SharingSettings sharing() {
+        return mSharing;
+    }
+
+    /** Returns how claims are carried. */
+    @JsonProperty("claims")
+    public ClaimSettings claims() {
+        return mClaims;
+    }
+
+    @JsonProperty("claims")
+    void setClaims(ClaimSettings claims) {
+        mClaims = claims;
+    }
+
+    @JsonProperty("instance")
+    void setInstance(InstanceSettings instance) {
+        mInstance = instance;
+    }
+
+    @JsonProperty("peers")
+    void setPeers(PeerSettings peers) {
+        mPeers = peers;
+    }
+
+    @JsonProperty("platform")
+    void setPlatform(PlatformAddresses platform) {
+        mPlatform = platform;
+    }
+
+    @JsonProperty("limits")
+    void setLimits(LimitSettings limits) {
+        mLimits = limits;
+    }
+
+    @JsonProperty("sharing")
+    void setSharing(SharingSettings sharing) {
+        mSharing = sharing;
+    }
+}
--- /dev/null
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/member/package-info.java
@@ -0,0 +1,2 @@
+/** The view of the fleet: instance list and heartbeats. */
+package org.magnoliapick.router.internal.member;
--- /dev/null
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/supervisor/package-info.java
@@ -0,0 +1,2 @@
+/** The supervisor tree: threads that are started again after a failure. */
+package org.magnoliapick.router.internal.supervisor;
--- /dev/null
+++ b/magnoliapick-router/src/test/java/org/magnoliapick/router/WholePathTest.java
@@ -0,0 +1,130 @@
+package org.magnoliapick.router;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.magnoliapick.standin.Fault;
+import org.magnoliapick.standin.FaultSwitches;
+
+/** Requests through real routers over loopback sockets, with faults of the systems around them. */
+final class WholePathTest {
+    private static final String OUTCOME = "Magnoliapick-Outcome";
+    private static final String ERROR = "Magnoliapick-Error";
+    private static final String END_MARK = "data: [DONE]\n\n";
+
+    private TestFleet mFleet;
+    private String mRouter;
+
+    @BeforeEach
+    void startFleet() throws Exception {
+        mFleet = new TestFleet();
+        mRouter = mFleet.startRouter("router-1");
+    }
+
+    @AfterEach
+    void stopFleet() {
+        mFleet.close();
+    }
+
+    @Test
+    void aChatGetsItsOwnWholeAnswer() throws Exception {
+        HttpResponse<String> answer = chat("nonce=n1", false);
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(header(answer, OUTCOME)).isEqualTo("whole");
+        assertThat(answer.body()).contains("[n1]");
+    }
+
+    @Test
+    void aStreamPassesTextByteForByteAndEndsWithItsMark() throws Exception {
+        HttpResponse<String> answer = chat("願い事リスト قائمة nonce=n2", true);
+        assertThat(answer.body()).contains("[n2]").endsWith(END_MARK);
+    }
+
+    @Test
+    void anUnknownKeyIsRefusedAsNotRun() throws Exception {
+        HttpResponse<String> answer =
+                mFleet.post(
+                        mRouter + "/v1/chat/completions",
+                        body("nonce=n3", false),
+                        "Authorization",
+                        "Bearer a key of nobody");
+        // The client joins both values of the header, which makes the key an unknown one.
+        assertThat(answer.statusCode()).isEqualTo(401);
+        assertThat(header(answer, OUTCOME)).isEqualTo("not-run");
+    }
+
+    @Test
+    void aBodyThatIsNoJsonIsRefusedAsNotRun() throws Exception {
+        HttpResponse<String> answer = mFleet.post(mRouter + "/v1/chat/completions", "{");
+        assertThat(answer.statusCode()).isEqualTo(400);
+        assertThat(header(answer, OUTCOME)).isEqualTo("not-run");
+    }
+
+    @Test
+    void aPairingRunsOnceThoughItIsSentThroughTwoInstances() throws Exception {
+        String second = mFleet.startRouter("router-2");
+        int ranBefore = mFleet.mService.total();
+        HttpResponse<String> first = pairing(mRouter, "pair-1");
+        HttpResponse<String> repeated = pairing(second, "pair-1");
+        assertThat(first.statusCode()).isEqualTo(200);
+        assertThat(repeated.statusCode()).isEqualTo(200);
+        assertThat(repeated.body()).isEqualTo(first.body());
+        assertThat(mFleet.mService.total()).isEqualTo(ranBefore + 1);
+    }
+
+    @Test
+    void aPairingIsRefusedAsNotRunWhileTheLogIsOut() throws Exception {
+        int ranBefore = mFleet.mService.total();
+        mFleet.mLog.faults().set(Fault.OUTAGE, FaultSwitches.ALWAYS);
+        HttpResponse<String> refused = pairing(mRouter, "pair-2");
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(header(refused, OUTCOME)).isEqualTo("not-run");
+        assertThat(header(refused, ERROR)).isEqualTo("log-unavailable");
+        assertThat(mFleet.mService.total()).isEqualTo(ranBefore);
+    }
+
+    @Test
+    void aCrossedAnswerNeverReachesTheCaller() throws Exception {
+        mFleet.mEngine.faults().set(Fault.CROSSED_ATTEMPT, FaultSwitches.ALWAYS);
+        HttpResponse<String> answer = chat("nonce=n5", false);
+        assertThat(answer.statusCode()).isEqualTo(502);
+        assertThat(header(answer, ERROR)).isEqualTo("answer-broken");
+    }
+
+    @Test
+    void aRefusalOfTheOnlyUpstreamIsToldAsNotRun() throws Exception {
+        mFleet.mEngine.setDraining(true);
+        HttpResponse<String> answer = chat("nonce=n6", false);
+        assertThat(header(answer, OUTCOME)).isEqualTo("not-run");
+        assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+        assertThat(mFleet.mEngine.started()).isZero();
+    }
+
+    private HttpResponse<String> chat(String text, boolean streamed) throws Exception {
+        return mFleet.post(mRouter + "/v1/chat/completions", body(text, streamed));
+    }
+
+    private HttpResponse<String> pairing(String router, String key) throws Exception {
+        return mFleet.post(
+                router + "/services/draws/pairings",
+                "{\"giver\":\"花子\",\"nonce\":\"" + key + "\"}",
+                "Idempotency-Key",
+                key,
+                "Magnoliapick-Deadline-Ms",
+                "5000");
+    }
+
+    private static String body(String text, boolean streamed) {
+        return String.format(
+                "{\"model\":\"gift-writer\",\"stream\":%s,\"max_tokens\":8,"
+                        + "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
+                streamed, text);
+    }
+
+    private static String header(HttpResponse<String> answer, String name) {
+        return answer.headers().firstValue(name).orElse("");
+    }
+}
