Grant slots by a dispatcher per pool

Cause: a static split idles slots and is unfair when demand is uneven. Change: SharePolicy.DISPATCHER: demand reports, grants by least normalised service, standing credits, attained-service exchange, spill, fallback, takeover. An earlier form took the largest charge of a message for the cost of a request; after a partition it starved a workspace (gap 128,428 against a bound of 20,400 units); the carry now follows the largest estimate of one request.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/BaseShareNode.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/BaseShareNode.java
@@ -60,6 +60,9 @@
     /** Does what is due by time, before the queues are looked at. */
     abstract void ticked(long nowMillis);
 
+    /** Sends what is due, after each event. */
+    abstract void flush(long nowMillis);
+
     @Override
     public final List<ShareAction> submit(QueuedRequest request, long nowMillis) {
         if (mQueues.contains(request.id()) || mRunning.containsKey(request.id())) {
@@ -69,20 +72,20 @@
         Optional<ErrorKind> refusal = mAdmission.check(request, served, nowMillis);
         if (refusal.isPresent()) {
             refuse(request, refusal.get(), nowMillis);
-            return takeActions();
+            return takeActions(nowMillis);
         }
         mQueues.add(request, nowMillis);
         act(Notes.admitted(request, mQueues, nowMillis));
         notifyQueueChanged(request, nowMillis);
         pump(request.target(), nowMillis);
-        return takeActions();
+        return takeActions(nowMillis);
     }
 
     @Override
     public final List<ShareAction> cancel(RequestId request, long nowMillis) {
         mQueues.remove(request)
                 .ifPresent(waiting -> notifyQueueChanged(waiting.request(), nowMillis));
-        return takeActions();
+        return takeActions(nowMillis);
     }
 
     @Override
@@ -91,7 +94,7 @@
         if (running != null) {
             observeGap(running, charge(running, usedUnits, nowMillis), nowMillis);
         }
-        return takeActions();
+        return takeActions(nowMillis);
     }
 
     @Override
@@ -99,7 +102,7 @@
             RequestId request, EndOfAttempt end, double usedUnits, long nowMillis) {
         Running running = mRunning.remove(request);
         if (running == null) {
-            return takeActions();
+            return takeActions(nowMillis);
         }
         charge(running, finalUnits(running, end, usedUnits), nowMillis);
         if (end == EndOfAttempt.WHOLE) {
@@ -113,7 +116,7 @@
         mLocal.ended(running);
         ended(running, end, nowMillis);
         upstream.member().targets().forEach(target -> pump(target, nowMillis));
-        return takeActions();
+        return takeActions(nowMillis);
     }
 
     @Override
@@ -121,7 +124,7 @@
         mView = view;
         mUpstreams.setView(view);
         pumpAll(nowMillis);
-        return takeActions();
+        return takeActions(nowMillis);
     }
 
     @Override
@@ -133,20 +136,20 @@
         mUpstreams.setConfig(config);
         mLocal.setConfig(config);
         mAdmission.setConfig(config);
-        return takeActions();
+        return takeActions(nowMillis);
     }
 
     @Override
     public List<ShareAction> loadReported(UpstreamId upstream, LoadReport report, long nowMillis) {
         mUpstreams.find(upstream).ifPresent(known -> known.slotLimit().report(report, nowMillis));
-        return takeActions();
+        return takeActions(nowMillis);
     }
 
     @Override
     public List<ShareAction> cacheChanged(
             UpstreamId upstream, List<Long> stored, List<Long> evicted, long nowMillis) {
         mUpstreams.find(upstream).ifPresent(known -> known.cacheHints().changed(stored, evicted));
-        return takeActions();
+        return takeActions(nowMillis);
     }
 
     @Override
@@ -155,7 +158,7 @@
         refuseUnserved(nowMillis);
         ticked(nowMillis);
         pumpAll(nowMillis);
-        return takeActions();
+        return takeActions(nowMillis);
     }
 
     @Override
@@ -190,7 +193,8 @@
         mActions.add(action);
     }
 
-    final List<ShareAction> takeActions() {
+    final List<ShareAction> takeActions(long nowMillis) {
+        flush(nowMillis);
         if (mActions.isEmpty()) {
             return List.of();
         }
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/DispatcherNode.java
@@ -0,0 +1,338 @@
+package org.magnoliapick.internal.share;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.magnoliapick.config.FleetConfig;
+import org.magnoliapick.internal.share.RouterDemand.DemandKey;
+import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.PoolId;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.member.FleetView;
+import org.magnoliapick.record.Cause;
+import org.magnoliapick.share.EndOfAttempt;
+import org.magnoliapick.share.ShareAction;
+import org.magnoliapick.share.ShareMessage;
+import org.magnoliapick.share.ShareMessage.Attained;
+import org.magnoliapick.share.ShareMessage.Demand;
+import org.magnoliapick.share.ShareMessage.Grant;
+import org.magnoliapick.share.ShareMessage.Grants;
+import org.magnoliapick.share.ShareSettings;
+
+/**
+ * Late binding: requests stay here until the dispatcher of a pool grants a slot, or a standing
+ * credit allows a start at once. For the pools that fall to it, the instance is the dispatcher.
+ */
+public final class DispatcherNode extends BaseShareNode {
+    /** How long a request waits for its own domain before other domains are asked as well. */
+    private static final long SPILL_MILLIS = 20;
+
+    /** Bounds the rounds of messages that an instance exchanges with itself in one event. */
+    private static final int MAX_ROUNDS = 64;
+
+    private final PoolRouting mRouting;
+    private final StaticShare mStaticShare;
+    private final CreditSlots mCredits;
+    private final Map<PoolId, PoolClient> mClients = new TreeMap<>();
+    private final Map<PoolId, Dispatcher> mDispatchers = new TreeMap<>();
+    private final Set<DemandKey> mSpilled = new HashSet<>();
+    private final ArrayDeque<ShareMessage> mToSelf = new ArrayDeque<>();
+    private final Map<InstanceId, Long> mIncarnations = new HashMap<>();
+    private final PoolClient.QueueFigures mFigures;
+    private long mExchangedMillis;
+    private long mSequence;
+    private boolean mLeaving;
+
+    /** Creates the node of one entry instance. */
+    public DispatcherNode(ShareSettings settings) {
+        super(settings);
+        mRouting = new PoolRouting(settings);
+        mStaticShare = new StaticShare(upstreams(), settings.domain());
+        mCredits = new CreditSlots(upstreams(), settings.domain(), this::clientOf);
+        mFigures = new LocalFigures(queues(), costs(), upstreams());
+    }
+
+    @Override
+    public List<ShareAction> viewChanged(FleetView view, long nowMillis) {
+        mRouting.setView(view);
+        mStaticShare.setView(view);
+        refreshDispatchers();
+        return super.viewChanged(view, nowMillis);
+    }
+
+    @Override
+    public List<ShareAction> configChanged(FleetConfig config, long nowMillis) {
+        List<ShareAction> actions = super.configChanged(config, nowMillis);
+        mDispatchers.values().forEach(dispatcher -> dispatcher.setConfig(config()));
+        return actions;
+    }
+
+    @Override
+    public List<ShareAction> receive(
+            InstanceId from, long incarnation, ShareMessage message, long nowMillis) {
+        long known = mIncarnations.merge(from, incarnation, Math::max);
+        if (incarnation >= known) {
+            take(from, incarnation, message, nowMillis);
+        }
+        return takeActions(nowMillis);
+    }
+
+    @Override
+    public List<ShareAction> leave(long nowMillis) {
+        mLeaving = true;
+        mDispatchers.clear();
+        mRouting.leave();
+        ShareMessage message = new ShareMessage.Leaving(++mSequence);
+        mRouting.neighbours().forEach(to -> act(new ShareAction.Send(to, message)));
+        refreshDispatchers();
+        return takeActions(nowMillis);
+    }
+
+    @Override
+    void pump(String target, long nowMillis) {
+        startAll(target, mCredits.at(nowMillis), Cause.STANDING_CREDIT, nowMillis);
+        Optional<PoolClient> home = mRouting.home(target).map(this::client);
+        if (home.isPresent() && home.get().silent(nowMillis)) {
+            startAll(target, mStaticShare.at(nowMillis), Cause.FALLBACK, nowMillis);
+        }
+    }
+
+    @Override
+    void queueChanged(String target, WorkspaceId workspace, long nowMillis) {
+        DemandKey key = new DemandKey(workspace, target);
+        int waiting = queues().size(target, workspace);
+        Optional<PoolId> home = mRouting.home(target);
+        home.ifPresent(pool -> client(pool).setWaiting(key, waiting));
+        if (home.isEmpty() && waiting > 0) {
+            mSpilled.add(key);
+        }
+        if (mSpilled.contains(key)) {
+            mRouting.spill(target).forEach(pool -> client(pool).setWaiting(key, waiting));
+        }
+        if (waiting == 0) {
+            mSpilled.remove(key);
+        }
+    }
+
+    @Override
+    void started(Running running, long nowMillis) {
+        PoolClient client = clientOf(running.upstream());
+        running.setPool(client.pool());
+        client.started(running);
+    }
+
+    @Override
+    void used(Running running, double increase, double remainingBefore, long nowMillis) {
+        client(running).used(running, increase, remainingBefore);
+    }
+
+    @Override
+    void ended(Running running, EndOfAttempt end, long nowMillis) {
+        client(running).ended(running);
+    }
+
+    @Override
+    void ticked(long nowMillis) {
+        spillWaiting(nowMillis);
+        mDispatchers.values().forEach(dispatcher -> dispatcher.tick(nowMillis));
+        mDispatchers
+                .entrySet()
+                .removeIf(entry -> !dispatches(entry.getKey()) && entry.getValue().unused());
+        exchange(nowMillis);
+    }
+
+    @Override
+    void flush(long nowMillis) {
+        for (int round = 0; round < MAX_ROUNDS; round++) {
+            sendDemands(nowMillis);
+            sendGrants(nowMillis);
+            if (mToSelf.isEmpty()) {
+                return;
+            }
+            while (!mToSelf.isEmpty()) {
+                take(settings().self(), settings().incarnation(), mToSelf.remove(), nowMillis);
+            }
+        }
+    }
+
+    private void take(InstanceId from, long incarnation, ShareMessage message, long nowMillis) {
+        if (message instanceof Demand demand) {
+            takeDemand(from, incarnation, demand, nowMillis);
+        } else if (message instanceof Grants grants) {
+            takeGrants(from, incarnation, grants, nowMillis);
+        } else if (message instanceof Attained attained) {
+            takeAttained(from, incarnation, attained, nowMillis);
+        } else if (message instanceof ShareMessage.Leaving) {
+            mRouting.left(from, incarnation);
+            refreshDispatchers();
+        }
+    }
+
+    private void takeDemand(InstanceId from, long incarnation, Demand demand, long nowMillis) {
+        if (mLeaving) {
+            send(from, new ShareMessage.Leaving(++mSequence));
+            return;
+        }
+        dispatcher(demand.pool(), nowMillis).demand(from, incarnation, demand, nowMillis);
+    }
+
+    private void takeGrants(InstanceId from, long incarnation, Grants grants, long nowMillis) {
+        PoolClient client = client(grants.pool());
+        if (!client.hear(from, incarnation, grants, nowMillis)) {
+            return;
+        }
+        for (Grant grant : grants.grants()) {
+            use(client, grant, nowMillis);
+        }
+        pumpAll(nowMillis);
+    }
+
+    private void use(PoolClient client, Grant grant, long nowMillis) {
+        DemandKey key = new DemandKey(grant.workspace(), grant.target());
+        client.setLead(key, grant.leadUnits());
+        Optional<Waiting> fit = firstFor(key, grant.upstream(), nowMillis);
+        if (fit.isEmpty()) {
+            boolean waits = queues().size(grant.target(), grant.workspace()) > 0;
+            client.handBack(key, grant.upstream(), waits);
+            return;
+        }
+        boolean home = client.pool().domain().equals(settings().domain());
+        Upstream upstream = upstreams().find(grant.upstream()).orElseThrow();
+        start(fit.get(), upstream, home ? Cause.LEAST_SERVICE : Cause.SPILL, nowMillis);
+    }
+
+    private Optional<Waiting> firstFor(DemandKey key, UpstreamId id, long nowMillis) {
+        Optional<Upstream> upstream =
+                upstreams()
+                        .find(id)
+                        .filter(known -> known.serves(key.target()))
+                        .filter(known -> known.inFlight() < known.limit(nowMillis));
+        if (upstream.isEmpty()) {
+            return Optional.empty();
+        }
+        for (Waiting waiting : queues().inOrder(key.target(), key.workspace())) {
+            if (!waiting.request().excluded().contains(id)) {
+                return Optional.of(waiting);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void takeAttained(
+            InstanceId from, long incarnation, Attained attained, long nowMillis) {
+        PoolId sender = attained.pool();
+        mDispatchers.forEach(
+                (pool, dispatcher) -> {
+                    boolean sameName = pool.target().equals(sender.target());
+                    if (sameName && !pool.domain().equals(sender.domain())) {
+                        dispatcher.attained(from, incarnation, attained, nowMillis);
+                    }
+                });
+    }
+
+    private void startAll(String target, SlotSource slots, Cause cause, long nowMillis) {
+        Optional<LocalScheduler.Choice> choice = local().next(target, slots);
+        while (choice.isPresent()) {
+            start(choice.get().waiting(), choice.get().upstream(), cause, nowMillis);
+            choice = local().next(target, slots);
+        }
+    }
+
+    private void spillWaiting(long nowMillis) {
+        for (String target : queues().targets()) {
+            for (WorkspaceId workspace : queues().workspaces(target)) {
+                DemandKey key = new DemandKey(workspace, target);
+                Waiting head = queues().head(target, workspace).orElseThrow();
+                boolean late = nowMillis - head.arrivedMillis() >= SPILL_MILLIS;
+                if (late && mSpilled.add(key)) {
+                    queueChanged(target, workspace, nowMillis);
+                }
+            }
+        }
+    }
+
+    private void sendDemands(long nowMillis) {
+        for (PoolClient client : mClients.values()) {
+            if (client.dispatcher().isPresent() && client.due(nowMillis)) {
+                send(client.dispatcher().get(), client.takeDemand(mFigures, nowMillis));
+            }
+        }
+    }
+
+    private void sendGrants(long nowMillis) {
+        for (Dispatcher dispatcher : mDispatchers.values()) {
+            dispatcher.takeMessages(nowMillis).forEach(this::send);
+        }
+    }
+
+    private void exchange(long nowMillis) {
+        if (nowMillis - mExchangedMillis < settings().exchangeMillis()) {
+            return;
+        }
+        mExchangedMillis = nowMillis;
+        mDispatchers.forEach(
+                (pool, dispatcher) ->
+                        dispatcher.takeAttained().ifPresent(message -> sendToPeers(pool, message)));
+    }
+
+    private void sendToPeers(PoolId pool, Attained message) {
+        for (FailureDomain domain : mRouting.pools().domains(pool.target())) {
+            if (!domain.equals(pool.domain())) {
+                mRouting.dispatcher(new PoolId(domain, pool.target()))
+                        .ifPresent(to -> send(to, message));
+            }
+        }
+    }
+
+    private void send(InstanceId to, ShareMessage message) {
+        if (to.equals(settings().self())) {
+            mToSelf.add(message);
+        } else {
+            act(new ShareAction.Send(to, message));
+        }
+    }
+
+    private boolean dispatches(PoolId pool) {
+        return mRouting.dispatcher(pool).filter(settings().self()::equals).isPresent();
+    }
+
+    private void refreshDispatchers() {
+        mClients.forEach((pool, client) -> client.setDispatcher(mRouting.dispatcher(pool)));
+    }
+
+    private Dispatcher dispatcher(PoolId pool, long nowMillis) {
+        return mDispatchers.computeIfAbsent(
+                pool,
+                id -> {
+                    Dispatcher created = new Dispatcher(id, settings(), upstreams(), nowMillis);
+                    created.setConfig(config());
+                    return created;
+                });
+    }
+
+    private PoolClient client(PoolId pool) {
+        return mClients.computeIfAbsent(
+                pool,
+                id -> {
+                    PoolClient created = new PoolClient(id, settings());
+                    created.setDispatcher(mRouting.dispatcher(id));
+                    return created;
+                });
+    }
+
+    private PoolClient clientOf(Upstream upstream) {
+        String target = upstream.member().targets().iterator().next();
+        return client(mRouting.pools().pool(upstream.domain(), target));
+    }
+
+    private PoolClient client(Running running) {
+        return client(running.pool().orElseThrow());
+    }
+}
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/FairIndex.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/FairIndex.java
@@ -16,15 +16,15 @@
     /** A workspace that was idle for less keeps its place when it returns. */
     private static final long IDLE_MILLIS = 1_000;
 
-    /** The most that is carried, as a multiple of the largest charge and the work in flight. */
-    private static final double CARRY_FACTOR = 4;
+    /** The most that is carried, as a multiple of the largest cost and the work in flight. */
+    private static final double CARRY_FACTOR = 2;
 
     private static final double MIN_CARRY_UNITS = 1_000;
 
     private final Weights mWeights = new Weights();
     private final Map<WorkspaceId, Account> mAccounts = new HashMap<>();
     private final TreeSet<Account> mBacklogged = new TreeSet<>(Account.BY_KEY);
-    private double mLargestChargeUnits;
+    private double mLargestCostUnits;
     private double mInFlightUnits;
     private int mInFlightAccounts;
 
@@ -67,10 +67,14 @@
         deactivateIfIdle(account);
     }
 
+    /** Notes the cost of one request, which bounds what is carried. */
+    void noteCost(double units) {
+        mLargestCostUnits = Math.max(mLargestCostUnits, Units.ofRequest(units));
+    }
+
     /** Charges service that a workspace has received, in units. */
     void charge(WorkspaceId workspace, double units) {
-        double sane = Units.ofRequest(units);
-        mLargestChargeUnits = Math.max(mLargestChargeUnits, sane);
+        double sane = Units.ofCounter(units);
         Account account = account(workspace);
         double weight = mWeights.weight(workspace);
         change(account, () -> account.addServed(sane, weight));
@@ -106,6 +110,19 @@
         return account != null && mBacklogged.contains(account);
     }
 
+    /** Returns how far a workspace is ahead of the least served backlogged one, normalised. */
+    double lead(WorkspaceId workspace) {
+        double floor = mBacklogged.isEmpty() ? mFloor : mBacklogged.first().key();
+        return Math.max(0, key(workspace) - floor);
+    }
+
+    /** Gives a workspace that is not known yet the lead that it had elsewhere. */
+    void seed(WorkspaceId workspace, double leadUnits) {
+        if (!mAccounts.containsKey(workspace)) {
+            account(workspace).moveKeyTo(Units.ofCounter(leadUnits));
+        }
+    }
+
     /** Counts the backlogged workspaces. */
     int backloggedCount() {
         return mBacklogged.size();
@@ -159,7 +176,7 @@
             return;
         }
         double carryUnits =
-                Math.max(MIN_CARRY_UNITS, CARRY_FACTOR * (mLargestChargeUnits + mInFlightUnits));
+                Math.max(MIN_CARRY_UNITS, CARRY_FACTOR * (mLargestCostUnits + mInFlightUnits));
         double carry = carryUnits / mWeights.weight(account.workspace());
         double most = mBacklogged.first().key() + carry;
         if (account.key() > most) {
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/LocalFigures.java
@@ -0,0 +1,53 @@
+package org.magnoliapick.internal.share;
+
+import java.util.Optional;
+import org.magnoliapick.internal.share.RouterDemand.DemandKey;
+import org.magnoliapick.lib.PoolId;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.share.QueuedRequest;
+
+/** Looks up what demand messages say of the queues of this instance. */
+final class LocalFigures implements PoolClient.QueueFigures {
+    private final QueueTable mQueues;
+    private final CostEstimator mCosts;
+    private final UpstreamTable mUpstreams;
+
+    LocalFigures(QueueTable queues, CostEstimator costs, UpstreamTable upstreams) {
+        mQueues = queues;
+        mCosts = costs;
+        mUpstreams = upstreams;
+    }
+
+    @Override
+    public Optional<Waiting> head(DemandKey key) {
+        return mQueues.head(key.target(), key.workspace());
+    }
+
+    @Override
+    public double estimateUnits(Waiting waiting) {
+        return mCosts.estimate(waiting.request());
+    }
+
+    @Override
+    public Optional<UpstreamId> preferred(PoolId pool, Waiting waiting) {
+        QueuedRequest request = waiting.request();
+        if (request.prefixHashes().isEmpty() && request.adapter().isEmpty()) {
+            return Optional.empty();
+        }
+        UpstreamId best = null;
+        double bestFit = 0;
+        for (Upstream upstream : mUpstreams.serving(request.target())) {
+            double fit = upstream.cacheHints().fit(request);
+            if (fit > bestFit && upstream.domain().equals(pool.domain())) {
+                best = upstream.id();
+                bestFit = fit;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    @Override
+    public long gapMillis(UpstreamId upstream) {
+        return mUpstreams.find(upstream).map(known -> known.slotLimit().gapMillis()).orElse(0L);
+    }
+}
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/LocalScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/LocalScheduler.java
@@ -37,6 +37,7 @@
     /** Follows the start of a request. */
     void started(Running running) {
         ledger(running).started(running);
+        index(running.request().target()).noteCost(running.estimateUnits());
         inFlightChanged(running);
     }
 
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/PoolMap.java
@@ -0,0 +1,64 @@
+package org.magnoliapick.internal.share;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.lib.PoolId;
+import org.magnoliapick.member.FleetView;
+import org.magnoliapick.member.UpstreamMember;
+
+/**
+ * Which pool each target belongs to. Targets that share an upstream share their pools, so that one
+ * dispatcher knows all of the upstream's slots; the pool bears the least of their names.
+ */
+final class PoolMap {
+    private final Map<String, String> mParents = new HashMap<>();
+    private final Map<String, TreeSet<FailureDomain>> mDomains = new HashMap<>();
+
+    PoolMap(FleetView view) {
+        for (UpstreamMember upstream : view.upstreams()) {
+            String first = null;
+            for (String target : upstream.targets()) {
+                first = first == null ? target : first;
+                join(first, target);
+            }
+        }
+        for (UpstreamMember upstream : view.upstreams()) {
+            if (upstream.state().takesNewWork() && !upstream.targets().isEmpty()) {
+                String name = name(upstream.targets().iterator().next());
+                mDomains.computeIfAbsent(name, key -> new TreeSet<>()).add(upstream.domain());
+            }
+        }
+    }
+
+    /** Returns the name that the pools of a target bear. */
+    String name(String target) {
+        String parent = mParents.getOrDefault(target, target);
+        return parent.equals(target) ? target : name(parent);
+    }
+
+    PoolId pool(FailureDomain domain, String target) {
+        return new PoolId(domain, name(target));
+    }
+
+    /** Returns the domains with live upstreams for the pools of this name, ordered by name. */
+    TreeSet<FailureDomain> domains(String name) {
+        return mDomains.getOrDefault(name, new TreeSet<>());
+    }
+
+    /** Returns the names of all pools with live upstreams. */
+    Iterable<String> names() {
+        return mDomains.keySet();
+    }
+
+    private void join(String one, String other) {
+        String oneRoot = name(one);
+        String otherRoot = name(other);
+        if (oneRoot.compareTo(otherRoot) < 0) {
+            mParents.put(otherRoot, oneRoot);
+        } else if (!oneRoot.equals(otherRoot)) {
+            mParents.put(oneRoot, otherRoot);
+        }
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/PoolSlots.java
@@ -0,0 +1,73 @@
+package org.magnoliapick.internal.share;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliapick.internal.share.RouterDemand.DemandEntry;
+import org.magnoliapick.lib.PoolId;
+import org.magnoliapick.lib.UpstreamId;
+
+/** Which slots of a pool's upstreams are taken, by the knowledge of its dispatcher. */
+final class PoolSlots {
+    private final PoolId mPool;
+    private final UpstreamTable mUpstreams;
+    private final Map<UpstreamId, Integer> mTaken = new HashMap<>();
+    private long mSettledMillis;
+
+    PoolSlots(PoolId pool, UpstreamTable upstreams, long settledMillis) {
+        mPool = pool;
+        mUpstreams = upstreams;
+        mSettledMillis = settledMillis;
+    }
+
+    void take(UpstreamId upstream, int change) {
+        mTaken.merge(upstream, change, Integer::sum);
+    }
+
+    /** Returns the free slots of an upstream. */
+    int free(Upstream upstream, long nowMillis) {
+        int taken = mTaken.getOrDefault(upstream.id(), 0);
+        if (nowMillis < mSettledMillis) {
+            taken = Math.max(taken, upstream.slotLimit().reportedInside(nowMillis));
+        }
+        return upstream.limit(nowMillis) - taken;
+    }
+
+    /** Returns the upstreams of the pool that have a free slot. */
+    List<Upstream> withFreeSlot(long nowMillis) {
+        List<Upstream> found = new ArrayList<>();
+        for (Upstream upstream : mUpstreams.all()) {
+            if (upstream.domain().equals(mPool.domain())
+                    && upstream.member().state().takesNewWork()
+                    && free(upstream, nowMillis) > 0) {
+                found.add(upstream);
+            }
+        }
+        return found;
+    }
+
+    /** Chooses among upstreams with free slots: the preferred one, else the least loaded one. */
+    Optional<Upstream> choose(DemandEntry entry, List<Upstream> free, long nowMillis) {
+        Optional<UpstreamId> preferred = entry.demand().preferred();
+        Upstream best = null;
+        double bestLoad = Double.POSITIVE_INFINITY;
+        for (Upstream upstream : free) {
+            if (!upstream.serves(entry.key().target())
+                    || entry.router().declines(upstream.id(), nowMillis)) {
+                continue;
+            }
+            if (preferred.isPresent() && preferred.get().equals(upstream.id())) {
+                return Optional.of(upstream);
+            }
+            double load =
+                    mTaken.getOrDefault(upstream.id(), 0) / (double) upstream.limit(nowMillis);
+            if (load < bestLoad) {
+                best = upstream;
+                bestLoad = load;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Running.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Running.java
@@ -1,5 +1,7 @@
 package org.magnoliapick.internal.share;
 
+import java.util.Optional;
+import org.magnoliapick.lib.PoolId;
 import org.magnoliapick.share.QueuedRequest;
 
 /** A request that was started and has not ended. */
@@ -7,6 +9,7 @@
     private final QueuedRequest mRequest;
     private final Upstream mUpstream;
     private final double mEstimateUnits;
+    private Optional<PoolId> mPool = Optional.empty();
     private double mUsedUnits;
     private long mUsedMillis;
 
@@ -24,6 +27,15 @@
         return mUpstream;
     }
 
+    /** Returns the pool that its slot belongs to, where the policy has pools. */
+    Optional<PoolId> pool() {
+        return mPool;
+    }
+
+    void setPool(PoolId pool) {
+        mPool = Optional.of(pool);
+    }
+
     double estimateUnits() {
         return mEstimateUnits;
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/SlotLimit.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/SlotLimit.java
@@ -21,6 +21,7 @@
     private long mLastTakenMillis;
     private long mLastReceivedMillis;
     private long mLastChangeMillis;
+    private int mReportedInside;
 
     /** Takes the bounds of the configuration; a gap target of 0 is none. */
     void setBounds(int maxConcurrent, long tokenGapTargetMillis) {
@@ -43,6 +44,7 @@
             return;
         }
         mLastTakenMillis = takenMillis;
+        mReportedInside = Math.max(0, report.running()) + Math.max(0, report.waiting());
         if (report.maxRunning() > 0) {
             mReportedMax = report.maxRunning();
         }
@@ -67,6 +69,13 @@
         }
     }
 
+    /** Takes the time between tokens that another instance observed, if it is the longer one. */
+    void gapHeard(double gapMillis, long nowMillis) {
+        if (gapMillis > mGapMillis) {
+            gapObserved(gapMillis, nowMillis);
+        }
+    }
+
     /** Returns the limit; it is halved while load reports that used to come have stopped. */
     int limit(long nowMillis) {
         boolean stopped =
@@ -74,6 +83,16 @@
         return stopped ? Math.max(1, mLimit / 2) : mLimit;
     }
 
+    /** Returns the requests inside the upstream by its last report, 0 if it is too old. */
+    int reportedInside(long nowMillis) {
+        return nowMillis - mLastTakenMillis > REPORT_STOPPED_MILLIS ? 0 : mReportedInside;
+    }
+
+    /** Returns the observed time between two tokens in milliseconds, 0 while unknown. */
+    long gapMillis() {
+        return Math.round(mGapMillis);
+    }
+
     private void adapt(LoadReport report, long nowMillis) {
         int running = Math.max(0, report.running());
         int waiting = Math.max(0, report.waiting());
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/StaticSplitNode.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/StaticSplitNode.java
@@ -62,4 +62,7 @@
 
     @Override
     void ticked(long nowMillis) {}
+
+    @Override
+    void flush(long nowMillis) {}
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/share/SharePolicy.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/share/SharePolicy.java
@@ -1,5 +1,6 @@
 package org.magnoliapick.share;
 
+import org.magnoliapick.internal.share.DispatcherNode;
 import org.magnoliapick.internal.share.StaticSplitNode;
 
 /** The ways to share capacity that can be chosen in the settings. */
@@ -10,6 +11,13 @@
         public ShareNode create(ShareSettings settings) {
             return new StaticSplitNode(settings);
         }
+    },
+    /** A dispatcher per pool grants each slot to the least served backlogged workspace. */
+    DISPATCHER {
+        @Override
+        public ShareNode create(ShareSettings settings) {
+            return new DispatcherNode(settings);
+        }
     };
 
     /** Creates the node of one entry instance. */
