--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/driver/Fleet.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/driver/Fleet.java
@@ -38,6 +38,7 @@
     private final Map<UpstreamId, FakeUpstream> mUpstreams = new LinkedHashMap<>();
     private final List<Flow> mFlows = new ArrayList<>();
     private final List<Demand> mDemands = new ArrayList<>();
+    private final Map<WorkspaceId, String> mGroups = new LinkedHashMap<>();
     private final Map<String, Double> mTeamWeights = new LinkedHashMap<>();
     private final Map<WorkspaceId, WorkspaceConfig> mWorkspaces = new LinkedHashMap<>();
 
@@ -140,6 +141,7 @@
             WorkspaceId id = new WorkspaceId(group.name() + "-" + i);
             boolean ownTeam = group.team() == null;
             String team = ownTeam ? "team-" + id : group.team();
+            mGroups.put(id, group.name());
             mTeamWeights.put(team, ownTeam ? group.weight() : FleetConfig.DEFAULT_WEIGHT);
             double weight = ownTeam ? FleetConfig.DEFAULT_WEIGHT : group.weight();
             mWorkspaces.put(
@@ -168,7 +170,9 @@
         loads.forEach(
                 (id, own) -> {
                     double share = weightOf(id) * loads.size() / sum;
-                    Flow flow = new Flow(mFlows.size(), id, target, targetIndex, share);
+                    Flow flow =
+                            new Flow(
+                                    mFlows.size(), id, mGroups.get(id), target, targetIndex, share);
                     mFlows.add(flow);
                     own.forEach(load -> mDemands.add(new Demand(flow, load)));
                 });
--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/driver/Measurements.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/driver/Measurements.java
@@ -1,16 +1,33 @@
 package org.magnoliapick.bench.driver;
 
-import java.util.EnumMap;
+import java.util.Comparator;
 import java.util.Map;
+import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 import org.magnoliapick.lib.RequestClass;
 
 /** What one run gave. */
 public final class Measurements {
     private static final int SIGNIFICANT_DIGITS = 3;
+    private static final Comparator<QueueKey> QUEUE_ORDER =
+            Comparator.comparing(QueueKey::requestClass).thenComparing(QueueKey::group);
+
+    /**
+     * What queue times are kept apart by.
+     *
+     * @param requestClass the class of the request
+     * @param group the group of workspaces that sent it
+     */
+    public record QueueKey(RequestClass requestClass, String group)
+            implements Comparable<QueueKey> {
+        @Override
+        public int compareTo(QueueKey other) {
+            return QUEUE_ORDER.compare(this, other);
+        }
+    }
 
     private final ServiceMeter mService;
-    private final Map<RequestClass, Histogram> mQueueMillis = new EnumMap<>(RequestClass.class);
+    private final Map<QueueKey, Histogram> mQueueMillis = new TreeMap<>();
     private final double[] mLargestCostUnits;
     private final long mWarmUpMicros;
     private long mWhole;
@@ -23,9 +40,6 @@
         mService = service;
         mWarmUpMicros = warmUpMicros;
         mLargestCostUnits = new double[targets];
-        for (RequestClass requestClass : RequestClass.values()) {
-            mQueueMillis.put(requestClass, new Histogram(SIGNIFICANT_DIGITS));
-        }
     }
 
     /** Returns service, backlog and use of capacity over time. */
@@ -33,8 +47,8 @@
         return mService;
     }
 
-    /** Returns the time from arrival to the batch by class, in milliseconds. */
-    public Map<RequestClass, Histogram> queueMillis() {
+    /** Returns the time from arrival to the batch by class and group, in milliseconds. */
+    public Map<QueueKey, Histogram> queueMillis() {
         return mQueueMillis;
     }
 
@@ -78,7 +92,10 @@
             return;
         }
         long waitedMillis = (nowMicros - request.mArrivalMicros) / Times.MICROS_PER_MILLI;
-        mQueueMillis.get(request.mQueued.requestClass()).recordValue(waitedMillis);
+        QueueKey key = new QueueKey(request.mQueued.requestClass(), request.mFlow.group());
+        mQueueMillis
+                .computeIfAbsent(key, k -> new Histogram(SIGNIFICANT_DIGITS))
+                .recordValue(waitedMillis);
     }
 
     void endedWhole() {
--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/policy/Policies.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/policy/Policies.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.magnoliapick.share.ShareNode;
+import org.magnoliapick.share.SharePolicy;
+import org.magnoliapick.share.ShareSettings;
 
 /** The policies by name. */
 public final class Policies {
@@ -21,6 +23,25 @@
         }
     }
 
+    /** A policy that the product can be set to. */
+    private record Decided(SharePolicy policy) implements Policy {
+        @Override
+        public String label() {
+            return policy.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+
+        @Override
+        public boolean sharesOneNode() {
+            return false;
+        }
+
+        @Override
+        public Nodes open(Oracle oracle) {
+            return (self, domain, incarnation, seed) ->
+                    policy.create(ShareSettings.defaults(self, incarnation, domain, seed));
+        }
+    }
+
     private Policies() {}
 
     /** Finds a policy. */
@@ -39,9 +60,18 @@
         add(
                 policies,
                 new Baseline("round-robin", false, oracle -> (s, d, i, r) -> new RoundRobinNode()));
+        add(policies, new Baseline("gossip", false, Policies::gossipNodes));
+        for (SharePolicy policy : SharePolicy.values()) {
+            add(policies, new Decided(policy));
+        }
         return policies;
     }
 
+    private static Policy.Nodes gossipNodes(Oracle oracle) {
+        GossipNode.Board board = new GossipNode.Board();
+        return (self, domain, incarnation, seed) -> new GossipNode(self, board);
+    }
+
     private static Policy.Nodes idealNodes(Oracle oracle) {
         ShareNode shared = new IdealNode(oracle);
         return (self, domain, incarnation, seed) -> shared;
--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/report/RowMaker.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/report/RowMaker.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.OptionalDouble;
 import org.HdrHistogram.Histogram;
 import org.magnoliapick.bench.driver.Measurements;
@@ -39,13 +38,7 @@
             }
         }
         List<QueueRow> queue = new ArrayList<>();
-        run.queueMillis()
-                .forEach(
-                        (requestClass, histogram) -> {
-                            if (histogram.getTotalCount() > 0) {
-                                queue.add(queueRow(requestClass.wireName(), histogram));
-                            }
-                        });
+        run.queueMillis().forEach((key, histogram) -> queue.add(queueRow(key, histogram)));
         return new PolicyRow(
                 mScenario.name(),
                 policy,
@@ -79,10 +72,9 @@
 
     private RecoveryRow recoveryRow(
             int target, Measurements run, TargetRow row, Windows.Window window) {
-        String name = String.format(Locale.ROOT, "%s", mScenario.targets().get(target));
         return new RecoveryRow(
                 window.label(),
-                name,
+                mScenario.targets().get(target),
                 gapSeconds(target, run, row, window),
                 utilisationSeconds(target, run, window));
     }
@@ -130,9 +122,10 @@
         return OptionalDouble.of((inBoundsFrom - window.first()) * SECONDS_PER_SAMPLE);
     }
 
-    private static QueueRow queueRow(String requestClass, Histogram histogram) {
+    private static QueueRow queueRow(Measurements.QueueKey key, Histogram histogram) {
         return new QueueRow(
-                requestClass,
+                key.requestClass().wireName(),
+                key.group(),
                 histogram.getTotalCount(),
                 histogram.getValueAtPercentile(50),
                 histogram.getValueAtPercentile(95),
--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/report/TextTable.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/report/TextTable.java
@@ -57,8 +57,9 @@
             text.append(
                     String.format(
                             Locale.ROOT,
-                            "  %-8s queue p50 %d ms, p95 %d ms, p99 %d ms (%d started)%n",
+                            "  %-8s %-6s queue p50 %d ms, p95 %d ms, p99 %d ms (%d started)%n",
                             queue.requestClass(),
+                            queue.group(),
                             queue.p50Millis(),
                             queue.p95Millis(),
                             queue.p99Millis(),
