Suspect only neighbours, after three missed heartbeats

Cause: a router was suspected after 3 s of silence, but instances of other failure domains send no heartbeats, and 90 neighbours at one heartbeat a second each would cost about 90 x 190 B = 17 KB/s, the whole control budget (computed, not measured). Change: one rule gives the heartbeat interval (1 to 5 s, 50 ms per neighbour) and the silence of three intervals; other failure domains are judged by the list alone. Conclusion: sender and judge share one rule.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/MemberTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/MemberTable.java
@@ -3,8 +3,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 
@@ -17,7 +19,7 @@
  * only in a new incarnation.
  */
 public final class MemberTable {
-    /** The silence after which a router is suspected, in milliseconds. */
+    /** The least silence after which a router is suspected, in milliseconds. */
     public static final long SUSPECT_AFTER_MILLIS = 3_000;
 
     /** The time that a member may be missing from the list before it is suspected. */
@@ -30,6 +32,7 @@
     public static final long UPSTREAM_RETURN_MILLIS = 30_000;
 
     private final InstanceId mSelf;
+    private final FailureDomain mDomain;
     private final Map<InstanceId, RouterEntry> mRouters = new TreeMap<>();
     private final Map<UpstreamId, UpstreamEntry> mUpstreams = new TreeMap<>();
     private long mListReadAtMillis;
@@ -37,6 +40,7 @@
     /** Creates a table that holds only the instance itself. */
     public MemberTable(RouterMember self, long nowMillis) {
         mSelf = self.id();
+        mDomain = self.domain();
         RouterEntry entry = new RouterEntry(nowMillis);
         entry.listed(self, nowMillis);
         entry.heard(self.incarnation(), false, nowMillis);
@@ -97,13 +101,29 @@
         List<RouterMember> routers =
                 mRouters.values().stream()
                         .filter(RouterEntry::hasAddress)
-                        .map(entry -> entry.toMember(nowMillis))
+                        .map(entry -> entry.toMember(suspectAfterMillis(entry), nowMillis))
                         .toList();
         List<UpstreamMember> upstreams =
                 mUpstreams.values().stream().map(entry -> entry.toMember(nowMillis)).toList();
         return new FleetView(routers, upstreams);
     }
 
+    /**
+     * Returns the silence after which a router is suspected. Those of other failure domains send no
+     * heartbeats, so their silence means nothing.
+     */
+    private long suspectAfterMillis(RouterEntry entry) {
+        boolean neighbour = entry.domain().equals(Optional.of(mDomain));
+        return neighbour ? Heartbeats.suspectAfterMillis(neighbours()) : Long.MAX_VALUE;
+    }
+
+    private int neighbours() {
+        Optional<FailureDomain> own = Optional.of(mDomain);
+        long inDomain =
+                mRouters.values().stream().filter(entry -> entry.domain().equals(own)).count();
+        return (int) inDomain - 1;
+    }
+
     private RouterEntry routerEntry(InstanceId id, long nowMillis) {
         return mRouters.computeIfAbsent(id, key -> new RouterEntry(nowMillis));
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/RouterEntry.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/RouterEntry.java
@@ -1,6 +1,7 @@
 package org.magnoliapick.member;
 
 import java.util.Optional;
+import org.magnoliapick.lib.FailureDomain;
 
 /** What the table knows of one router. */
 final class RouterEntry {
@@ -58,14 +59,16 @@
     }
 
     boolean gone(long nowMillis) {
-        return silent(nowMillis) && mMissing.longerThan(MemberTable.FORGET_AFTER_MILLIS, nowMillis);
+        boolean silent = nowMillis - mAliveAtMillis > MemberTable.SUSPECT_AFTER_MILLIS;
+        return silent && mMissing.longerThan(MemberTable.FORGET_AFTER_MILLIS, nowMillis);
     }
 
-    private boolean silent(long nowMillis) {
-        return nowMillis - mAliveAtMillis > MemberTable.SUSPECT_AFTER_MILLIS;
+    /** Returns the failure domain, once the list has told it. */
+    Optional<FailureDomain> domain() {
+        return mListed.map(RouterMember::domain);
     }
 
-    RouterMember toMember(long nowMillis) {
+    RouterMember toMember(long suspectAfterMillis, long nowMillis) {
         RouterMember listed = mListed.orElseThrow();
         return new RouterMember(
                 listed.id(),
@@ -73,13 +76,14 @@
                 listed.domain(),
                 listed.host(),
                 listed.peerPort(),
-                state(nowMillis));
+                state(suspectAfterMillis, nowMillis));
     }
 
-    private MemberState state(long nowMillis) {
+    private MemberState state(long suspectAfterMillis, long nowMillis) {
         if (mLeaving) {
             return MemberState.LEAVING;
         }
-        return silent(nowMillis) ? MemberState.SUSPECT : MemberState.LIVE;
+        boolean silent = nowMillis - mAliveAtMillis > suspectAfterMillis;
+        return silent ? MemberState.SUSPECT : MemberState.LIVE;
     }
 }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/member/MemberTableTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/member/MemberTableTest.java
@@ -174,6 +174,29 @@
         return mTable.view(nowMillis).upstreams().get(0).state();
     }
 
+    @Example
+    void routerOfAnotherFailureDomainIsNotSuspectedForItsSilence() {
+        FailureDomain other = new FailureDomain("kumamoto-b");
+        RouterMember remote = new RouterMember(PEER, 0, other, "127.0.0.1", 1, MemberState.LIVE);
+        mTable.listed(List.of(SELF, remote), List.of(), 0);
+        mTable.heard(PEER, 5, false, 0);
+
+        assertThat(peerState(100 * MemberTable.SUSPECT_AFTER_MILLIS)).isEqualTo(MemberState.LIVE);
+    }
+
+    @Example
+    void suspicionWaitsForThreeHeartbeatsHoweverManyNeighbours() {
+        List<RouterMember> routers = new ArrayList<>(List.of(SELF));
+        for (int i = 2; i <= 90; i++) {
+            routers.add(router("r" + i, MemberState.LIVE));
+        }
+        mTable.listed(routers, List.of(), 0);
+        long threeHeartbeats = 3 * Heartbeats.intervalMillis(89);
+
+        assertThat(peerState(threeHeartbeats)).isEqualTo(MemberState.LIVE);
+        assertThat(peerState(threeHeartbeats + 1)).isEqualTo(MemberState.SUSPECT);
+    }
+
     private MemberState peerState(long nowMillis) {
         return mTable.view(nowMillis).routers().get(1).state();
     }
