--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/driver/FakeUpstream.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/driver/FakeUpstream.java
@@ -147,7 +147,7 @@
         advance();
         for (Execution execution : mRunning) {
             Flow flow = execution.mRequest.mFlow;
-            usedByFlow[flow.index()] += mSteps - execution.mStartSteps;
+            usedByFlow[flow.index()] += usedUnits(execution);
             costByTarget[flow.targetIndex()] += execution.mRequest.mCostUnits;
         }
         for (Execution execution : mWaiting) {
--- a/magnoliapick-bench/src/test/java/org/magnoliapick/bench/report/BoundsTest.java
+++ b/magnoliapick-bench/src/test/java/org/magnoliapick/bench/report/BoundsTest.java
@@ -26,7 +26,8 @@
                         "MISS s p seed 1: gift utilisation is 0.9690, target >= 0.9700",
                         "MISS s p seed 1: control bytes a second is 17001, target <= 17000",
                         "MISS s p seed 1: cut gift gap recovery seconds is never, target <= 5.0000",
-                        "MISS s p seed 1: starts at a leaving upstream is 1.0000, target <= 0.0000");
+                        "MISS s p seed 1: starts at a leaving upstream is 1.0000,"
+                                + " target <= 0.0000");
     }
 
     private static PolicyRow row(
