--- a/magnoliapick-standin/src/main/java/org/magnoliapick/standin/ServiceStandin.java
+++ b/magnoliapick-standin/src/main/java/org/magnoliapick/standin/ServiceStandin.java
@@ -118,6 +118,7 @@
         } else {
             node.put("order", "لوح المقهى");
         }
+        node.put("heldMillis", mOptions.mLatencyMillis);
         nonceOf(call).ifPresent(nonce -> node.put("nonce", nonce));
         return node;
     }
