--- a/magnoliapick-load/src/main/java/org/magnoliapick/load/LoadPlan.java
+++ b/magnoliapick-load/src/main/java/org/magnoliapick/load/LoadPlan.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
@@ -41,6 +40,7 @@
      * One workspace's callers.
      *
      * @param name its name
+     * @param team its team; gaps are taken inside a team
      * @param key the bearer key that names it to the fleet
      * @param callers how many requests it has in progress at a time
      * @param pauseMillis pause of a caller between two requests
@@ -51,6 +51,7 @@
      */
     public record WorkspacePlan(
             @JsonProperty(required = true) String name,
+            String team,
             @JsonProperty(required = true) String key,
             @JsonProperty(required = true) int callers,
             long pauseMillis,
@@ -60,6 +61,7 @@
             @JsonProperty(required = true) Map<String, Integer> kinds) {
         /** Fills in what may be left out. */
         public WorkspacePlan {
+            team = team == null ? "" : team;
             weightChanges = weightChanges == null ? List.of() : List.copyOf(weightChanges);
         }
 
@@ -104,9 +106,7 @@
      * @throws PlanException naming the file, the path in it and what is allowed
      */
     public static LoadPlan read(Path file) throws PlanException {
-        ObjectMapper mapper =
-                new ObjectMapper(new YAMLFactory())
-                        .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+        ObjectMapper mapper = new ObjectMapper(new YAMLFactory());
         try {
             LoadPlan plan = mapper.readValue(Files.readAllBytes(file), LoadPlan.class);
             plan.check();
--- a/magnoliapick-load/src/main/java/org/magnoliapick/load/LoadReport.java
+++ b/magnoliapick-load/src/main/java/org/magnoliapick/load/LoadReport.java
@@ -21,17 +21,22 @@
                     + " %8.0f%n";
 
     static LoadReport of(List<WorkspaceTally> tallies, boolean recordsComplete, double seconds) {
-        double least =
-                tallies.stream()
-                        .filter(tally -> tally.plan().backlogged())
-                        .mapToDouble(WorkspaceTally::normalisedTokens)
-                        .min()
-                        .orElse(0);
         List<WorkspaceFigures> figures = new ArrayList<>();
-        tallies.forEach(tally -> figures.add(tally.figures(least)));
+        for (WorkspaceTally tally : tallies) {
+            figures.add(tally.figures(leastOfTeam(tallies, tally.plan().team())));
+        }
         return new LoadReport(seconds, recordsComplete, figures);
     }
 
+    private static double leastOfTeam(List<WorkspaceTally> tallies, String team) {
+        return tallies.stream()
+                .filter(tally -> tally.plan().backlogged())
+                .filter(tally -> tally.plan().team().equals(team))
+                .mapToDouble(WorkspaceTally::normalisedTokens)
+                .min()
+                .orElse(0);
+    }
+
     /** Returns whether nothing was lost, doubled, crossed or falsely refused. */
     public boolean isClean() {
         return recordsComplete && workspaces.stream().allMatch(WorkspaceFigures::isClean);
--- a/magnoliapick-load/src/main/java/org/magnoliapick/load/WorkspaceFigures.java
+++ b/magnoliapick-load/src/main/java/org/magnoliapick/load/WorkspaceFigures.java
@@ -21,7 +21,7 @@
  * @param heldMillis worker milliseconds received
  * @param normalisedTokens tokens divided by the share at the time
  * @param normalisedHeldMillis worker milliseconds divided by the share at the time
- * @param gapTokens normalised tokens above the backlogged workspace with the least
+ * @param gapTokens normalised tokens above the team's backlogged workspace with the least
  * @param p50Millis median time of whole answers, retries included
  * @param p95Millis 95th percentile of it
  * @param p99Millis 99th percentile of it
