--- /dev/null
+++ b/magnoliapick-admin/src/main/java/org/magnoliapick/admin/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The resources of the administration API. */
+package org.magnoliapick.admin.internal;
--- a/magnoliapick-admin/src/test/java/org/magnoliapick/admin/FakeLogService.java
+++ b/magnoliapick-admin/src/test/java/org/magnoliapick/admin/FakeLogService.java
@@ -12,7 +12,7 @@
 import org.magnoliapick.platform.LogService;
 
 /** A log in memory that can be out, lose answers and forget entries. */
-final class FakeLogService implements LogService {
+public final class FakeLogService implements LogService {
     private final Map<String, List<LogEntry>> mStreams = new HashMap<>();
     private final Map<String, Long> mFirstKept = new HashMap<>();
     private Runnable mAfterAppend = () -> {};
@@ -20,7 +20,8 @@
     private boolean mIsNextAnswerLost;
     private long mNowMillis;
 
-    void setOut(boolean isOut) {
+    /** Makes the log unreachable or reachable again. */
+    public void setOut(boolean isOut) {
         mIsOut = isOut;
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/config/ConfigState.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/config/ConfigState.java
@@ -196,7 +196,7 @@
 
     private Optional<EntryFault> removeAll(List<String> paths, long offset) {
         for (String path : paths) {
-            if (mTree.remove(path, offset).isEmpty()) {
+            if (path.isEmpty() || mTree.remove(path, offset).isEmpty()) {
                 return Optional.of(EntryFaults.ofUnset(path));
             }
         }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/errors/ErrorKind.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/errors/ErrorKind.java
@@ -35,6 +35,8 @@
     UPSTREAM_REFUSED(503, Outcome.NOT_RUN, Retry.YES, Wait.SHORT),
     /** The log is out, so the request's claim cannot be decided. */
     LOG_UNAVAILABLE(503, Outcome.NOT_RUN, Retry.YES, Wait.LONG),
+    /** Whether a change of the configuration was accepted is unknown; its token tells later. */
+    CHANGE_UNKNOWN(503, Outcome.OUTCOME_UNKNOWN, Retry.YES, Wait.SHORT),
     /** Another attempt with the same key is running. */
     CLAIM_IN_PROGRESS(409, Outcome.OUTCOME_UNKNOWN, Retry.YES, Wait.SHORT),
     /** The request with this key ran, and its answer is no longer kept. */
