Administer, explain and measure from every router

Cause: the administration API, the decision records and the metrics stood apart from the process. Progress of a stream is reported every 16 units instead of every token. Conclusion: any instance operates the fleet; none is special.

--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterApplication.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterApplication.java
@@ -5,13 +5,17 @@
 import io.dropwizard.core.Application;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
+import io.dropwizard.core.sslreload.SslReloadBundle;
 import java.time.InstantSource;
+import org.magnoliapick.admin.AdminApi;
+import org.magnoliapick.admin.AdminServices;
 import org.magnoliapick.platform.Platform;
 import org.magnoliapick.platform.PlatformSettings;
 import org.magnoliapick.router.internal.HealthResource;
 import org.magnoliapick.router.internal.RouterModule;
 import org.magnoliapick.router.internal.RouterTree;
 import org.magnoliapick.router.internal.ShutdownHook;
+import org.magnoliapick.router.internal.admin.MetricsResource;
 import org.magnoliapick.router.internal.caller.ModelResource;
 import org.magnoliapick.router.internal.caller.ServiceResource;
 import org.magnoliapick.router.internal.caller.StoppingPart;
@@ -25,7 +29,7 @@
 
     @Override
     public void initialize(Bootstrap<RouterSettings> bootstrap) {
-        bootstrap.addBundle(new io.dropwizard.core.sslreload.SslReloadBundle());
+        bootstrap.addBundle(new SslReloadBundle());
     }
 
     @Override
@@ -36,6 +40,8 @@
         environment.jersey().register(injector.getInstance(HealthResource.class));
         environment.jersey().register(injector.getInstance(ModelResource.class));
         environment.jersey().register(injector.getInstance(ServiceResource.class));
+        environment.jersey().register(injector.getInstance(MetricsResource.class));
+        AdminApi.register(environment.jersey(), injector.getInstance(AdminServices.class));
         environment.lifecycle().manage(injector.getInstance(RouterTree.class));
         StoppingPart stopping = injector.getInstance(StoppingPart.class);
         environment.lifecycle().addServerLifecycleListener(new ShutdownHook(stopping)::install);
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterSettings.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterSettings.java
@@ -13,6 +13,7 @@
     @Valid @NotNull private LimitSettings mLimits = new LimitSettings();
     @Valid @NotNull private SharingSettings mSharing = new SharingSettings();
     @Valid @NotNull private ClaimSettings mClaims = new ClaimSettings();
+    @Valid @NotNull private AdminSettings mAdmin = new AdminSettings();
 
     /** Returns who and where this instance is. */
     @JsonProperty("instance")
@@ -55,6 +56,17 @@
         mClaims = claims;
     }
 
+    /** Returns how the instance is administered. */
+    @JsonProperty("admin")
+    public AdminSettings admin() {
+        return mAdmin;
+    }
+
+    @JsonProperty("admin")
+    void setAdmin(AdminSettings admin) {
+        mAdmin = admin;
+    }
+
     @JsonProperty("instance")
     void setInstance(InstanceSettings instance) {
         mInstance = instance;
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/RouterModule.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/RouterModule.java
@@ -7,7 +7,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.function.Consumer;
 import org.apache.thrift.transport.TTransportException;
 import org.magnoliapick.admin.ConfigFollower;
 import org.magnoliapick.admin.FollowerOptions;
@@ -23,12 +22,12 @@
 import org.magnoliapick.platform.PlainService;
 import org.magnoliapick.platform.Platform;
 import org.magnoliapick.platform.WeightStore;
-import org.magnoliapick.record.DecisionRecord;
 import org.magnoliapick.request.RetryAllowance;
 import org.magnoliapick.router.ClaimSettings;
 import org.magnoliapick.router.InstanceSettings;
 import org.magnoliapick.router.LimitSettings;
 import org.magnoliapick.router.RouterSettings;
+import org.magnoliapick.router.internal.admin.AdminModule;
 import org.magnoliapick.router.internal.caller.Claims;
 import org.magnoliapick.router.internal.caller.Flows;
 import org.magnoliapick.router.internal.claim.LogClaims;
@@ -57,6 +56,7 @@
 
     @Override
     protected void configure() {
+        install(new AdminModule(mSettings.admin()));
         bind(InstantSource.class).toInstance(mClock);
         bind(LimitSettings.class).toInstance(mSettings.limits());
         bind(Platform.class).toInstance(mPlatform);
@@ -113,12 +113,6 @@
         return nowMillis -> true;
     }
 
-    @Provides
-    @Singleton
-    Consumer<DecisionRecord> records() {
-        return decision -> {};
-    }
-
     @Provides
     @Singleton
     ConfigFollower configFollower(LogService log, SnapshotSource peers, FollowerOptions options) {
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/RouterTree.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/RouterTree.java
@@ -6,6 +6,7 @@
 import org.magnoliapick.admin.ConfigFollower;
 import org.magnoliapick.config.FleetConfig;
 import org.magnoliapick.platform.Platform;
+import org.magnoliapick.router.internal.admin.SummaryPart;
 import org.magnoliapick.router.internal.caller.Attempts;
 import org.magnoliapick.router.internal.caller.RequestReader;
 import org.magnoliapick.router.internal.claim.LogClaims;
@@ -36,6 +37,7 @@
             PeerPart peers,
             LoadPart loads,
             LogClaims claims,
+            SummaryPart summaries,
             PeerServer peerServer,
             PeerLinks links,
             PeerPort peerPort,
@@ -46,7 +48,7 @@
         mPeerServer = peerServer;
         mLinks = links;
         mPeerPort = peerPort;
-        Supervisor outside = new Supervisor("platform").with(config).with(members);
+        Supervisor outside = new Supervisor("platform").with(config).with(members).with(summaries);
         Supervisor upstreams = new Supervisor("upstreams").with(loads);
         Supervisor fleet = new Supervisor("fleet").with(peers);
         mRoot =
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/caller/FlowServices.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/caller/FlowServices.java
@@ -9,8 +9,10 @@
 import java.util.function.Consumer;
 import org.magnoliapick.lib.RequestId;
 import org.magnoliapick.record.DecisionRecord;
+import org.magnoliapick.record.RequestEnd;
 import org.magnoliapick.request.RetryAllowance;
 import org.magnoliapick.router.internal.RouterThreads;
+import org.magnoliapick.router.internal.admin.RouterMetrics;
 import org.magnoliapick.router.internal.peer.PeerPart;
 import org.magnoliapick.router.internal.share.ShareLoop;
 import org.magnoliapick.share.EndOfAttempt;
@@ -25,6 +27,7 @@
     private final Claims mClaims;
     private final RetryAllowance mRetryAllowance;
     private final Consumer<DecisionRecord> mRecords;
+    private final Provider<RouterMetrics> mMetrics;
     private final RouterThreads mThreads;
     private final InstantSource mClock;
 
@@ -36,6 +39,7 @@
             Claims claims,
             RetryAllowance retryAllowance,
             Consumer<DecisionRecord> records,
+            Provider<RouterMetrics> metrics,
             RouterThreads threads,
             InstantSource clock) {
         mShares = shares;
@@ -44,6 +48,7 @@
         mClaims = claims;
         mRetryAllowance = retryAllowance;
         mRecords = records;
+        mMetrics = metrics;
         mThreads = threads;
         mClock = clock;
     }
@@ -69,6 +74,12 @@
         mShares.get().finish(request, EndOfAttempt.CANCELLED, 0);
     }
 
+    /** Keeps and counts how a request ended. */
+    void ended(RequestEnd end) {
+        mRecords.accept(end.toRecord());
+        mMetrics.get().ended(end);
+    }
+
     ScheduledFuture<?> after(long delayMillis, Runnable work) {
         return mThreads.after(delayMillis, work);
     }
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/caller/RequestFlow.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/caller/RequestFlow.java
@@ -11,8 +11,9 @@
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.lib.AttemptId;
 import org.magnoliapick.lib.RequestId;
-import org.magnoliapick.lib.TargetKind;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.record.Cause;
+import org.magnoliapick.record.RequestEnd;
 import org.magnoliapick.request.AttemptEnd;
 import org.magnoliapick.request.RequestAction;
 import org.magnoliapick.request.RequestEvent;
@@ -25,6 +26,8 @@
  * blocks.
  */
 public final class RequestFlow implements AttemptListener {
+    private static final double PROGRESS_STEP_UNITS = 16;
+
     private final CallerRequest mRequest;
     private final CallerAnswer mAnswer;
     private final FlowServices mServices;
@@ -37,6 +40,9 @@
     private byte[] mArrived = new byte[0];
     private Optional<KeptAnswer> mKept = Optional.empty();
     private Optional<ScheduledFuture<?>> mDeadline = Optional.empty();
+    private Optional<UpstreamId> mUpstream = Optional.empty();
+    private Cause mEndCause = Cause.CALLER_GONE;
+    private double mReportedUnits;
     private int mAttempts;
 
     RequestFlow(
@@ -136,13 +142,22 @@
     public synchronized boolean chunk(AttemptId attempt, int index, byte[] data, int tokens) {
         if (isCurrent(attempt)) {
             mArrived = data;
-            mUsage.tokens(tokens);
-            mServices.progress(mRequest.id(), mUsage.units(nowMillis()));
+            mUsage.tokens(tokens, nowMillis());
+            reportProgress();
         }
         on(new RequestEvent.ChunkReceived(attempt, index));
         return isCurrent(attempt);
     }
 
+    /** Tells the shares of progress in steps, so that a token does not cost an event each. */
+    private void reportProgress() {
+        double units = mUsage.units(nowMillis());
+        if (units - mReportedUnits >= PROGRESS_STEP_UNITS) {
+            mReportedUnits = units;
+            mServices.progress(mRequest.id(), units);
+        }
+    }
+
     @Override
     public synchronized void end(AttemptId attempt, long promptTokens, long outputTokens) {
         if (isCurrent(attempt)) {
@@ -166,10 +181,27 @@
         perform(mMachine.on(event, nowMillis()));
         if (!ended && mMachine.state().isFinal()) {
             mDeadline.ifPresent(deadline -> deadline.cancel(false));
+            mServices.ended(endRecord());
             mOnEnd.accept(mRequest.id());
         }
     }
 
+    private RequestEnd endRecord() {
+        long nowMillis = nowMillis();
+        long arrivedMillis = mRequest.arrivedMillis();
+        return new RequestEnd(
+                nowMillis,
+                mRequest.id(),
+                mRequest.workspace(),
+                mRequest.requestClass(),
+                mEndCause,
+                mUpstream,
+                nowMillis - arrivedMillis,
+                mUsage.firstTokenMillis().map(millis -> millis - arrivedMillis),
+                mUsage.longestGapMillis(),
+                mUsage.endedUnits());
+    }
+
     private void perform(List<RequestAction> actions) {
         actions.forEach(this::perform);
     }
@@ -187,6 +219,7 @@
             mServices.withdraw(mRequest.id());
         } else if (action instanceof RequestAction.StartAttempt start) {
             forgetAnswer();
+            mUpstream = Optional.of(start.upstream());
             mServices.attempts().start(mRequest, start.attempt(), start.upstream(), this);
         } else if (action instanceof RequestAction.ResumeAttempt resume) {
             mServices.attempts().resume(mRequest, resume, this);
@@ -194,7 +227,8 @@
             mServices.attempts().cancel(mRequest, cancel.attempt(), cancel.upstream());
         } else if (action instanceof RequestAction.ReleaseSlot release) {
             mServices.finish(mRequest.id(), release.end(), mUsage.units(nowMillis()));
-            mUsage.ended();
+            mUsage.ended(nowMillis());
+            mReportedUnits = 0;
         } else {
             return action instanceof RequestAction.Send;
         }
@@ -209,11 +243,14 @@
         } else if (action instanceof RequestAction.HoldChunk) {
             mHeld.writeBytes(mArrived);
         } else if (action instanceof RequestAction.AnswerWhole whole) {
+            mEndCause = Cause.COMPLETED;
             answerWhole(whole.attempt());
         } else if (action instanceof RequestAction.AnswerKept) {
+            mEndCause = Cause.COMPLETED;
             KeptAnswer kept = mKept.orElseThrow();
             mAnswer.whole(kept.status(), kept.headers(), kept.body(), headers(Optional.empty()));
         } else if (action instanceof RequestAction.AnswerError error) {
+            mEndCause = EndCause.of(error.kind());
             mAnswer.problem(error.kind(), error.retryAfterMillis(), headers(mMachine.attempt()));
         } else {
             return false;
@@ -275,9 +312,4 @@
     private long nowMillis() {
         return mServices.clock().millis();
     }
-
-    /** Returns whether the request asks a model. */
-    boolean asksModel() {
-        return mRequest.kind() == TargetKind.MODEL;
-    }
 }
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/member/MemberPart.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/member/MemberPart.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.member.FleetView;
@@ -34,7 +35,7 @@
     private final PeerPort mPeerPort;
     private final InstantSource mClock;
     private final List<ViewListener> mListeners = new CopyOnWriteArrayList<>();
-    private FleetView mPublished = FleetView.EMPTY;
+    private volatile FleetView mPublished = FleetView.EMPTY;
     private int mRound;
 
     @Inject
@@ -71,6 +72,13 @@
         mListeners.add(listener);
     }
 
+    /** Returns the failure domains of all routers known. */
+    public Set<String> failureDomains() {
+        Set<String> domains = new TreeSet<>();
+        mPublished.routers().forEach(router -> domains.add(router.domain().value()));
+        return domains;
+    }
+
     /** Notes a direct sign of life of another instance. */
     public void heard(InstanceId from, long incarnation, boolean leaving) {
         synchronized (mTable) {
--- a/magnoliapick-router/src/test/java/org/magnoliapick/router/TestFleet.java
+++ b/magnoliapick-router/src/test/java/org/magnoliapick/router/TestFleet.java
@@ -30,6 +30,7 @@
 
 /** A small fleet on loopback: stand-ins for the platform and the upstreams, and real routers. */
 final class TestFleet implements AutoCloseable {
+    static final String OPERATOR_KEY = "key-of-the-first-operator";
     static final String KEY = "key-of-the-school-club";
 
     private static final Duration PATIENCE = Duration.ofSeconds(30);
@@ -51,13 +52,16 @@
             register(platform, "engine-1", ListedMember.Role.MODEL_ENGINE, "gift-writer");
             register(platform, "draws-1", ListedMember.Role.PLAIN_SERVICE, "draws");
         }
-        String hash = Hashing.sha256().hashString(KEY, UTF_8).toString();
         String workspace = "teams/kyushu/workspaces/school-club/";
-        setting(workspace + "keys/k1/sha256", "\"" + hash + "\"");
+        setting(workspace + "keys/k1/sha256", "\"" + sha256(KEY) + "\"");
         setting("fleet/targets/gift-writer/kind", "\"model\"");
         setting("fleet/targets/draws/kind", "\"service\"");
     }
 
+    private static String sha256(String key) {
+        return Hashing.sha256().hashString(key, UTF_8).toString();
+    }
+
     void setting(String path, String jsonValue) {
         String entry =
                 String.format(
@@ -74,6 +78,7 @@
                         RouterApplication.class,
                         ResourceHelpers.resourceFilePath("router.yaml"),
                         ConfigOverride.config("instance.name", name),
+                        ConfigOverride.config("admin.bootstrapKeySha256", sha256(OPERATOR_KEY)),
                         ConfigOverride.config("platform.log", HOST + ":" + mLog.port()),
                         ConfigOverride.config("platform.instanceList", HOST + ":" + mList.port()),
                         ConfigOverride.config(
@@ -101,6 +106,14 @@
         return send(request(url).GET());
     }
 
+    HttpResponse<String> operate(String method, String url, String body) throws Exception {
+        return send(
+                request(url)
+                        .setHeader("Authorization", "Bearer " + OPERATOR_KEY)
+                        .setHeader("Content-Type", "application/json")
+                        .method(method, HttpRequest.BodyPublishers.ofString(body, UTF_8)));
+    }
+
     HttpResponse<String> post(String url, String body, String... headers) throws Exception {
         HttpRequest.Builder request =
                 request(url).POST(HttpRequest.BodyPublishers.ofString(body, UTF_8));
