Tighten the exchange, the spill and the slot limits of the dispatcher

A workspace that returned within a second kept an old place and dragged the carry down; engines got 64 requests before their first report; each request asked every domain. Change: lift at every return less one request's cost; 8 slots until the first report, then the reported batch; another domain is asked at once only while its pool is not known to be backlogged; exchange as soon as one request's cost is unknown elsewhere; the queue bound counts per target; shorter ejection.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Account.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Account.java
@@ -18,7 +18,6 @@
     private double mInFlightUnits;
     private double mKey;
     private boolean mActive;
-    private long mSatisfiedMillis;
 
     Account(WorkspaceId workspace) {
         mWorkspace = workspace;
@@ -46,15 +45,6 @@
         mActive = active;
     }
 
-    /** Returns when it last stopped being backlogged, in milliseconds since the epoch. */
-    long satisfiedMillis() {
-        return mSatisfiedMillis;
-    }
-
-    void setSatisfiedMillis(long satisfiedMillis) {
-        mSatisfiedMillis = satisfiedMillis;
-    }
-
     void addServed(double units, double weight) {
         mServedNormalised = Units.ofCounter(mServedNormalised + units / weight);
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Admission.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Admission.java
@@ -10,7 +10,10 @@
 import org.magnoliapick.record.Cause;
 import org.magnoliapick.share.QueuedRequest;
 
-/** Decides whether a request may wait, and when a refused one may come back. */
+/**
+ * Decides whether a request may wait, and when a refused one may come back. A workspace's bound
+ * counts for each target by itself, so that a flood of drafts does not block its confirmations.
+ */
 final class Admission {
     private static final long MAX_RETRY_AFTER_MILLIS = 60_000;
 
@@ -40,7 +43,8 @@
         if (deadlineOutOfReach(request, nowMillis)) {
             return Optional.of(ErrorKind.DEADLINE_BEFORE_START);
         }
-        if (mQueues.size(request.workspace()) >= maxQueued(request.workspace())) {
+        int queued = mQueues.size(request.target(), request.workspace());
+        if (queued >= maxQueued(request.workspace())) {
             return Optional.of(ErrorKind.WORKSPACE_QUEUE_FULL);
         }
         if (mQueues.size() >= mMaxQueued) {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Backlog.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Backlog.java
@@ -26,8 +26,12 @@
         mIndex = index;
     }
 
-    /** Changes an entry and moves it to its new place. */
-    void change(DemandEntry entry, boolean lift, long nowMillis, Runnable step) {
+    /**
+     * Changes an entry and moves it to its new place.
+     *
+     * @param elsewhere whether its workspace has requests waiting for another pool
+     */
+    void change(DemandEntry entry, boolean elsewhere, Runnable step) {
         WorkspaceId workspace = entry.key().workspace();
         TreeSet<DemandEntry> entries =
                 mEntries.computeIfAbsent(workspace, id -> new TreeSet<>(BY_RANK));
@@ -40,9 +44,9 @@
         }
         if (entries.isEmpty()) {
             mEntries.remove(workspace);
-            mIndex.satisfied(workspace, nowMillis);
+            mIndex.satisfied(workspace);
         } else {
-            mIndex.backlogged(workspace, lift, nowMillis);
+            mIndex.backlogged(workspace, elsewhere);
         }
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/BaseShareNode.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/BaseShareNode.java
@@ -306,7 +306,7 @@
     }
 
     private void notifyQueueChanged(QueuedRequest request, long nowMillis) {
-        mLocal.queueChanged(request.target(), request.workspace(), nowMillis);
+        mLocal.queueChanged(request.target(), request.workspace());
         queueChanged(request.target(), request.workspace(), nowMillis);
     }
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Dispatcher.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Dispatcher.java
@@ -38,6 +38,7 @@
     private static final long CALM_MILLIS = 200;
     private static final int SILENT_REPORTS = 3;
     private static final int MAX_WINDOWS = 8;
+    private static final long MIN_EXCHANGE_MILLIS = 20;
 
     /** Spaces the message numbers, so that they grow when the pool leaves and comes back. */
     private static final long SEQUENCES_PER_MILLI = 1_000;
@@ -61,6 +62,8 @@
     private long mBackloggedMillis;
     private boolean mBacklogged;
     private long mAttainedSequence;
+    private long mAttainedMillis;
+    private double mUnsentUnits;
 
     Dispatcher(PoolId pool, ShareSettings settings, UpstreamTable upstreams, long nowMillis) {
         mPool = pool;
@@ -162,11 +165,24 @@
         return messages;
     }
 
-    /** Returns the message for the dispatchers of other domains; empty if there is nothing. */
-    Optional<Attained> takeAttained() {
+    /**
+     * Returns the message for the dispatchers of other domains, if it is due: by time, or earlier
+     * when more service than the cost of one request is not known there.
+     */
+    Optional<Attained> takeAttained(int peers, long nowMillis) {
+        long elapsedMillis = nowMillis - mAttainedMillis;
+        boolean periodic = elapsedMillis >= mSettings.exchangeMillis() * (1 + peers / 4);
+        boolean much = mUnsentUnits > mIndex.largestCostUnits();
+        if (!periodic && !(much && elapsedMillis >= MIN_EXCHANGE_MILLIS * peers)) {
+            return Optional.empty();
+        }
+        mAttainedMillis = nowMillis;
+        mUnsentUnits = 0;
         List<Total> totals = new ArrayList<>();
         Set<WorkspaceId> listed = new TreeSet<>(mChanged);
-        mIndex.inOrder().forEach(listed::add);
+        if (periodic) {
+            mIndex.inOrder().forEach(listed::add);
+        }
         for (WorkspaceId workspace : listed) {
             totals.add(
                     new Total(
@@ -231,7 +247,7 @@
                 mSlots.take(grant.upstream(), -1);
                 WorkspaceId workspace = grant.entry().key().workspace();
                 mInFlight.replace(workspace, grant.estimateUnits(), 0);
-                change(grant.entry(), nowMillis, () -> grant.entry().addGranted(-1, nowMillis));
+                change(grant.entry(), () -> grant.entry().addGranted(-1, nowMillis));
             }
         }
     }
@@ -264,8 +280,9 @@
         double after = Units.ofCounter(figures.inFlightUnits());
         mIndex.charge(workspace, increase);
         mServedUnits.merge(workspace, increase, Double::sum);
+        mUnsentUnits += increase;
         replaceInFlight(workspace, before, after);
-        change(entry, nowMillis, () -> entry.setDemand(figures, nowMillis));
+        change(entry, () -> entry.setDemand(figures, nowMillis));
     }
 
     private void clear(DemandEntry entry, long nowMillis) {
@@ -273,7 +290,6 @@
         replaceInFlight(entry.key().workspace(), Units.ofCounter(last.inFlightUnits()), 0);
         change(
                 entry,
-                nowMillis,
                 () ->
                         entry.setDemand(
                                 new WorkspaceDemand(
@@ -295,9 +311,8 @@
         mChanged.add(workspace);
     }
 
-    private void change(DemandEntry entry, long nowMillis, Runnable step) {
-        boolean lift = !mRemote.backlogged(entry.key().workspace());
-        mBacklog.change(entry, lift, nowMillis, step);
+    private void change(DemandEntry entry, Runnable step) {
+        mBacklog.change(entry, mRemote.backlogged(entry.key().workspace()), step);
     }
 
     private void changeHeld(RouterDemand router, UpstreamId upstream, Runnable step) {
@@ -332,7 +347,7 @@
                                 nowMillis + mSettings.grantMillis()));
         mSlots.take(upstream.id(), 1);
         mInFlight.replace(workspace, 0, estimate);
-        change(entry, nowMillis, () -> entry.addGranted(1, nowMillis));
+        change(entry, () -> entry.addGranted(1, nowMillis));
         mNewGrants
                 .computeIfAbsent(router.id(), id -> new ArrayList<>())
                 .add(new Grant(workspace, entry.key().target(), upstream.id(), lead));
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/DispatcherNode.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/DispatcherNode.java
@@ -10,7 +10,6 @@
 import java.util.TreeMap;
 import org.magnoliapick.config.FleetConfig;
 import org.magnoliapick.internal.share.RouterDemand.DemandKey;
-import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.PoolId;
 import org.magnoliapick.lib.UpstreamId;
@@ -34,6 +33,9 @@
     /** How long a request waits for its own domain before other domains are asked as well. */
     private static final long SPILL_MILLIS = 20;
 
+    /** The same for a domain whose pool is known to be backlogged as well. */
+    private static final long BACKLOGGED_SPILL_MILLIS = 250;
+
     /** Bounds the rounds of messages that an instance exchanges with itself in one event. */
     private static final int MAX_ROUNDS = 64;
 
@@ -42,14 +44,16 @@
     private final CreditSlots mCredits;
     private final Map<PoolId, PoolClient> mClients = new TreeMap<>();
     private final Map<PoolId, Dispatcher> mDispatchers = new TreeMap<>();
-    private final Set<DemandKey> mSpilled = new HashSet<>();
+    private final Set<Spill> mSpilled = new HashSet<>();
     private final ArrayDeque<ShareMessage> mToSelf = new ArrayDeque<>();
     private final Map<InstanceId, Long> mIncarnations = new HashMap<>();
     private final PoolClient.QueueFigures mFigures;
-    private long mExchangedMillis;
     private long mSequence;
     private boolean mLeaving;
 
+    /** A queue that is reported to the pool of another domain as well. */
+    private record Spill(DemandKey key, PoolId pool) {}
+
     /** Creates the node of one entry instance. */
     public DispatcherNode(ShareSettings settings) {
         super(settings);
@@ -110,14 +114,14 @@
         int waiting = queues().size(target, workspace);
         Optional<PoolId> home = mRouting.home(target);
         home.ifPresent(pool -> client(pool).setWaiting(key, waiting));
-        if (home.isEmpty() && waiting > 0) {
-            mSpilled.add(key);
-        }
-        if (mSpilled.contains(key)) {
-            mRouting.spill(target).forEach(pool -> client(pool).setWaiting(key, waiting));
-        }
-        if (waiting == 0) {
-            mSpilled.remove(key);
+        for (PoolId pool : mRouting.spill(target)) {
+            PoolClient client = client(pool);
+            if (waiting == 0 || home.isEmpty() || mSpilled.contains(new Spill(key, pool))) {
+                client.setWaiting(key, waiting);
+            }
+            if (waiting == 0) {
+                mSpilled.remove(new Spill(key, pool));
+            }
         }
     }
 
@@ -196,7 +200,7 @@
 
     private void use(PoolClient client, Grant grant, long nowMillis) {
         DemandKey key = new DemandKey(grant.workspace(), grant.target());
-        client.setLead(key, grant.leadUnits());
+        client.granted(key, grant.leadUnits());
         Optional<Waiting> fit = firstFor(key, grant.upstream(), nowMillis);
         if (fit.isEmpty()) {
             boolean waits = queues().size(grant.target(), grant.workspace()) > 0;
@@ -248,12 +252,22 @@
     private void spillWaiting(long nowMillis) {
         for (String target : queues().targets()) {
             for (WorkspaceId workspace : queues().workspaces(target)) {
-                DemandKey key = new DemandKey(workspace, target);
-                Waiting head = queues().head(target, workspace).orElseThrow();
-                boolean late = nowMillis - head.arrivedMillis() >= SPILL_MILLIS;
-                if (late && mSpilled.add(key)) {
-                    queueChanged(target, workspace, nowMillis);
-                }
+                spillWaiting(new DemandKey(workspace, target), nowMillis);
+            }
+        }
+    }
+
+    private void spillWaiting(DemandKey key, long nowMillis) {
+        Waiting head = queues().head(key.target(), key.workspace()).orElseThrow();
+        long waitedMillis = nowMillis - head.arrivedMillis();
+        if (waitedMillis < SPILL_MILLIS) {
+            return;
+        }
+        for (PoolId pool : mRouting.spill(key.target())) {
+            PoolClient client = client(pool);
+            boolean late = waitedMillis >= BACKLOGGED_SPILL_MILLIS || !client.backlogged(nowMillis);
+            if (late && mSpilled.add(new Spill(key, pool))) {
+                client.setWaiting(key, queues().size(key.target(), key.workspace()));
             }
         }
     }
@@ -273,22 +287,13 @@
     }
 
     private void exchange(long nowMillis) {
-        if (nowMillis - mExchangedMillis < settings().exchangeMillis()) {
-            return;
-        }
-        mExchangedMillis = nowMillis;
         mDispatchers.forEach(
-                (pool, dispatcher) ->
-                        dispatcher.takeAttained().ifPresent(message -> sendToPeers(pool, message)));
-    }
-
-    private void sendToPeers(PoolId pool, Attained message) {
-        for (FailureDomain domain : mRouting.pools().domains(pool.target())) {
-            if (!domain.equals(pool.domain())) {
-                mRouting.dispatcher(new PoolId(domain, pool.target()))
-                        .ifPresent(to -> send(to, message));
-            }
-        }
+                (pool, dispatcher) -> {
+                    List<InstanceId> peers = mRouting.peers(pool);
+                    dispatcher
+                            .takeAttained(peers.size(), nowMillis)
+                            .ifPresent(message -> peers.forEach(peer -> send(peer, message)));
+                });
     }
 
     private void send(InstanceId to, ShareMessage message) {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Ejection.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Ejection.java
@@ -5,9 +5,9 @@
 /** Takes an upstream that keeps failing out of the choice, and lets it return slowly. */
 final class Ejection {
     private static final int FAILURES_TO_EJECT = 5;
-    private static final long BASE_MILLIS = 2_000;
-    private static final int MAX_DOUBLINGS = 4;
-    private static final long SLOW_START_MILLIS = 10_000;
+    private static final long BASE_MILLIS = 1_000;
+    private static final int MAX_DOUBLINGS = 2;
+    private static final long SLOW_START_MILLIS = 2_000;
 
     private int mFailures;
     private int mEjections;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/FairIndex.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/FairIndex.java
@@ -13,9 +13,6 @@
  * logarithm of the number of backlogged workspaces.
  */
 final class FairIndex {
-    /** A workspace that was idle for less keeps its place when it returns. */
-    private static final long IDLE_MILLIS = 1_000;
-
     /** The most that is carried, as a multiple of the largest cost and the work in flight. */
     private static final double CARRY_FACTOR = 2;
 
@@ -37,33 +34,32 @@
     }
 
     /**
-     * Marks a workspace as backlogged. One that returns from idle is lifted to the least served.
+     * Marks a workspace as backlogged. One that returns from idle is lifted to the least served,
+     * less the cost of one request.
      *
-     * @param lift whether it was idle everywhere, not only here
+     * @param elsewhere whether it has requests waiting elsewhere, so that it was not idle
      */
-    void backlogged(WorkspaceId workspace, boolean lift, long nowMillis) {
+    void backlogged(WorkspaceId workspace, boolean elsewhere) {
         Account account = account(workspace);
         if (mBacklogged.contains(account)) {
             return;
         }
         activate(account);
-        if (lift && nowMillis - account.satisfiedMillis() >= IDLE_MILLIS) {
-            double floor = mBacklogged.isEmpty() ? mFloor : mBacklogged.first().key();
-            account.moveKeyTo(Math.max(account.key(), floor));
-        }
+        double slackUnits = elsewhere ? carryUnits() : mLargestCostUnits;
+        double floor = floor() - slackUnits / mWeights.weight(workspace);
+        account.moveKeyTo(Math.max(account.key(), floor));
         capCarry(account);
         mBacklogged.add(account);
     }
 
     /** Marks a workspace as having no waiting request; it stays active while work is in flight. */
-    void satisfied(WorkspaceId workspace, long nowMillis) {
+    void satisfied(WorkspaceId workspace) {
         Account account = mAccounts.get(workspace);
         if (account == null || !mBacklogged.contains(account)) {
             return;
         }
         mFloor = mBacklogged.first().key();
         mBacklogged.remove(account);
-        account.setSatisfiedMillis(nowMillis);
         deactivateIfIdle(account);
     }
 
@@ -72,6 +68,11 @@
         mLargestCostUnits = Math.max(mLargestCostUnits, Units.ofRequest(units));
     }
 
+    /** Returns the largest cost of one request that was noted. */
+    double largestCostUnits() {
+        return mLargestCostUnits;
+    }
+
     /** Charges service that a workspace has received, in units. */
     void charge(WorkspaceId workspace, double units) {
         double sane = Units.ofCounter(units);
@@ -112,8 +113,7 @@
 
     /** Returns how far a workspace is ahead of the least served backlogged one, normalised. */
     double lead(WorkspaceId workspace) {
-        double floor = mBacklogged.isEmpty() ? mFloor : mBacklogged.first().key();
-        return Math.max(0, key(workspace) - floor);
+        return Math.max(0, key(workspace) - floor());
     }
 
     /** Gives a workspace that is not known yet the lead that it had elsewhere. */
@@ -175,15 +175,21 @@
         if (mBacklogged.isEmpty()) {
             return;
         }
-        double carryUnits =
-                Math.max(MIN_CARRY_UNITS, CARRY_FACTOR * (mLargestCostUnits + mInFlightUnits));
-        double carry = carryUnits / mWeights.weight(account.workspace());
+        double carry = carryUnits() / mWeights.weight(account.workspace());
         double most = mBacklogged.first().key() + carry;
         if (account.key() > most) {
             account.moveKeyTo(most);
         }
     }
 
+    private double floor() {
+        return mBacklogged.isEmpty() ? mFloor : mBacklogged.first().key();
+    }
+
+    private double carryUnits() {
+        return Math.max(MIN_CARRY_UNITS, CARRY_FACTOR * (mLargestCostUnits + mInFlightUnits));
+    }
+
     private Iterator<WorkspaceId> iterator() {
         return mBacklogged.stream().map(Account::workspace).iterator();
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/LocalScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/LocalScheduler.java
@@ -26,11 +26,11 @@
     }
 
     /** Follows a change of the queue of a workspace. */
-    void queueChanged(String target, WorkspaceId workspace, long nowMillis) {
+    void queueChanged(String target, WorkspaceId workspace) {
         if (mQueues.size(target, workspace) > 0) {
-            index(target).backlogged(workspace, true, nowMillis);
+            index(target).backlogged(workspace, false);
         } else {
-            index(target).satisfied(workspace, nowMillis);
+            index(target).satisfied(workspace);
         }
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/PoolClient.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/PoolClient.java
@@ -22,8 +22,8 @@
 
 /** One instance's dealings with the dispatcher of one pool. */
 final class PoolClient {
-    /** A longer queue is reported at once only while the dispatcher knows of fewer than this. */
-    private static final int KNOWN_WAITING_ENOUGH = 4;
+    /** How long a dispatcher's word that its pool is backlogged counts. */
+    private static final long BACKLOGGED_MILLIS = 2_000;
 
     private final PoolId mPool;
     private final ShareSettings mSettings;
@@ -103,11 +103,10 @@
         if (usage.mWaiting == waiting) {
             return;
         }
-        boolean more = waiting > usage.mWaiting && usage.mKnownWaiting < KNOWN_WAITING_ENOUGH;
         mWaitingQueues += Integer.signum(waiting) - Integer.signum(usage.mWaiting);
         usage.mWaiting = waiting;
         mChanged.add(key);
-        mUrgent |= more;
+        mUrgent |= waiting > 0 && usage.mKnownWaiting <= 0;
     }
 
     void started(Running running) {
@@ -164,9 +163,17 @@
         return true;
     }
 
-    /** Notes the lead that the dispatcher sees, for the next dispatcher. */
-    void setLead(DemandKey key, double leadUnits) {
-        usage(key).mLeadUnits = Units.ofCounter(leadUnits);
+    /** Notes a grant and the lead that the dispatcher sees, for the next dispatcher. */
+    void granted(DemandKey key, double leadUnits) {
+        Usage usage = usage(key);
+        usage.mLeadUnits = Units.ofCounter(leadUnits);
+        usage.mKnownWaiting--;
+        mUrgent |= usage.mWaiting > 1 && usage.mKnownWaiting <= 0;
+    }
+
+    /** Returns whether the dispatcher lately said that its pool is backlogged. */
+    boolean backlogged(long nowMillis) {
+        return mBacklogged && nowMillis - mHeardMillis < BACKLOGGED_MILLIS;
     }
 
     /** Notes that a grant could not be used, though requests may wait. */
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/PoolRouting.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/PoolRouting.java
@@ -57,6 +57,17 @@
         return mDispatchers.computeIfAbsent(pool, this::choose);
     }
 
+    /** Returns the instances that dispatch the pools of the same name in other domains. */
+    List<InstanceId> peers(PoolId pool) {
+        List<InstanceId> found = new ArrayList<>();
+        for (FailureDomain domain : mPools.domains(pool.target())) {
+            if (!domain.equals(pool.domain())) {
+                dispatcher(new PoolId(domain, pool.target())).ifPresent(found::add);
+            }
+        }
+        return found;
+    }
+
     /** Returns the live instances of this instance's domain, without itself. */
     List<InstanceId> neighbours() {
         List<InstanceId> found = new ArrayList<>();
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/SlotLimit.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/SlotLimit.java
@@ -8,12 +8,15 @@
  * It follows load reports, which may be late, and the observed time between tokens.
  */
 final class SlotLimit {
+    /** The limit before the first load report, which tells how large the batch can be. */
+    private static final int FIRST_LIMIT = 8;
+
     private static final long REPORT_STOPPED_MILLIS = 5_000;
     private static final long GAP_SETTLE_MILLIS = 1_000;
     private static final double GAP_MEMORY = 0.9;
     private static final double GAP_STEP_RATIO = 0.05;
 
-    private int mLimit = TargetConfig.DEFAULT_MAX_CONCURRENT;
+    private int mLimit = FIRST_LIMIT;
     private int mConfiguredMax = TargetConfig.DEFAULT_MAX_CONCURRENT;
     private int mReportedMax = Integer.MAX_VALUE;
     private long mGapTargetMillis;
@@ -26,10 +29,9 @@
     /** Takes the bounds of the configuration; a gap target of 0 is none. */
     void setBounds(int maxConcurrent, long tokenGapTargetMillis) {
         int max = Math.max(1, maxConcurrent);
-        if (max != mConfiguredMax) {
-            mLimit = mLimit == mConfiguredMax ? max : Math.min(mLimit, max);
-            mConfiguredMax = max;
-        }
+        boolean widened = mLastReceivedMillis > 0 && mLimit == mConfiguredMax;
+        mConfiguredMax = max;
+        mLimit = widened ? max : Math.min(mLimit, max);
         mGapTargetMillis = tokenGapTargetMillis;
     }
 
@@ -46,7 +48,9 @@
         mLastTakenMillis = takenMillis;
         mReportedInside = Math.max(0, report.running()) + Math.max(0, report.waiting());
         if (report.maxRunning() > 0) {
+            boolean first = mReportedMax == Integer.MAX_VALUE;
             mReportedMax = report.maxRunning();
+            mLimit = first ? mReportedMax : mLimit;
         }
         if (takenMillis > mLastChangeMillis) {
             adapt(report, nowMillis);
--- a/magnoliapick-core/src/main/java/org/magnoliapick/share/ShareSettings.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/share/ShareSettings.java
@@ -31,7 +31,7 @@
     private static final int DEFAULT_MAX_QUEUED_REQUESTS = 2_000;
     private static final long DEFAULT_TICK_MILLIS = 10;
     private static final long DEFAULT_REPORT_MILLIS = 1_000;
-    private static final long DEFAULT_EXCHANGE_MILLIS = 500;
+    private static final long DEFAULT_EXCHANGE_MILLIS = 200;
     private static final long DEFAULT_SILENCE_MILLIS = 1_500;
     private static final long DEFAULT_GRANT_MILLIS = 1_000;
 
