Drive the fleet with magnoliapickctl and draw the burn report

Cause: the administration API had no command, and service levels could not be read or shown.

Change: magnoliapickctl with a class per command, texts in one bundle, settings from YAML or flags checked in one line each, routers tried in turn, distinct exit codes for an unreachable log (3), an unknown outcome (4) and no router (5); apply prints its plan and holds only against the version the plan was made from. The report module writes the burn report as text and as one page with inline SVG. A key is no longer shown for a token that stored another key.

Conclusion: an operator can read and change settings, explain and report from one command; it has not run against real routers yet.

--- a/magnoliapick-admin/src/main/java/org/magnoliapick/admin/internal/Change.java
+++ b/magnoliapick-admin/src/main/java/org/magnoliapick/admin/internal/Change.java
@@ -13,7 +13,9 @@
 import org.magnoliapick.admin.AdminServices;
 import org.magnoliapick.admin.ChangeCommand;
 import org.magnoliapick.admin.ChangeResult;
+import org.magnoliapick.config.ConfigState;
 import org.magnoliapick.config.Role;
+import org.magnoliapick.config.Setting;
 import org.magnoliapick.config.SettingPath;
 import org.magnoliapick.errors.ErrorKind;
 
@@ -84,11 +86,27 @@
 
     private Response answer(ChangeResult result, String token, Response.Status successStatus) {
         if (result instanceof ChangeResult.Accepted accepted) {
+            if (!mParams.isDryRun() && mExtra.has("key") && !isInForce()) {
+                // An earlier call with this token stored another key, which was shown then.
+                String detail = "The token was used before; issue a key with another token";
+                throw new AdminException(ErrorKind.CONFLICT, detail, Map.of("token", token));
+            }
             return accepted(accepted.offset(), token, successStatus);
         }
         return refused(result, !mExpect.isEmpty());
     }
 
+    private boolean isInForce() {
+        return mServices
+                .follower()
+                .read(state -> mSet.entrySet().stream().allMatch(each -> isInForce(state, each)));
+    }
+
+    private static boolean isInForce(ConfigState state, Map.Entry<String, JsonNode> wanted) {
+        Setting setting = state.subtree(wanted.getKey()).get(wanted.getKey());
+        return setting != null && setting.value().equals(wanted.getValue());
+    }
+
     private Response accepted(long offset, String token, Response.Status successStatus) {
         ObjectNode body = JsonNodeFactory.instance.objectNode();
         body.put("accepted", !mParams.isDryRun());
--- a/magnoliapick-admin/src/test/java/org/magnoliapick/admin/internal/AdminApiTest.java
+++ b/magnoliapick-admin/src/test/java/org/magnoliapick/admin/internal/AdminApiTest.java
@@ -168,6 +168,17 @@
                 .isEmpty();
     }
 
+    @Test
+    void keyIsNotShownForTokenThatStoredAnother() {
+        post("teams/muscat/workspaces", "{\"name\":\"cafe\"}");
+        Map<String, Object> params = Map.of("token", "t-1");
+        String path = "teams/muscat/workspaces/cafe/keys";
+        assertThat(call(ROOT, path, params).post(Entity.json("")).getStatus()).isEqualTo(201);
+        Response again = call(ROOT, path, params).post(Entity.json(""));
+        assertThat(again.getStatus()).isEqualTo(409);
+        assertThat(again.readEntity(String.class)).doesNotContain("mp_");
+    }
+
     @Test
     void operatorOfTeamIsHeldToItsSubtreeAndRole() {
         put(CAFE + "/weight", "1");
--- a/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/package-info.java
+++ b/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/package-info.java
@@ -1,2 +1,2 @@
-/** The operators' command line. */
+/** The operators' command, magnoliapickctl. */
 package org.magnoliapick.pgm;
--- /dev/null
+++ b/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
@@ -0,0 +1,239 @@
+package org.magnoliapick.pgm;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.magnoliapick.pgm.internal.Console;
+
+final class MainTest {
+    private static final String ACCEPTED =
+            "{\"accepted\":true,\"dryRun\":false,\"offset\":7,\"token\":\"t\"}";
+
+    @TempDir private Path mDirectory;
+    private final FakeRouter mRouter = new FakeRouter();
+    private final StringWriter mOut = new StringWriter();
+    private final StringWriter mErr = new StringWriter();
+
+    MainTest() throws IOException {}
+
+    @AfterEach
+    void stopRouter() {
+        mRouter.close();
+    }
+
+    @Test
+    void helpAndVersionNeedNoRouter() {
+        assertThat(run("--help")).isZero();
+        assertThat(mOut.toString()).contains("upstream drain NAME").contains("--dry-run");
+        assertThat(run("--version")).isZero();
+        assertThat(run("set", "--help")).isZero();
+        assertThat(mOut.toString()).contains("usage: magnoliapickctl [options] set PATH VALUE");
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "colour: red | colour: unknown; known are routers, key, timeout-ms and output",
+                "routers: [localhost:80] | \"localhost:80\" must be an IP number and a port",
+                "routers: [\"10.0.0.256:80\"] | must be an IP number",
+                "routers: [\"10.0.0.1:0\"] | port from 1 to 65535",
+                "timeout-ms: 5 | timeout-ms: \"5\" must be a whole number from 100 to 600000",
+                "timeout-ms: soon | timeout-ms: \"soon\" must be",
+                "output: xml | output: \"xml\" must be table, json or yaml",
+                "key: 5 | key: must be a text",
+                "key: abc | routers: name at least one router",
+                "'routers: [\"10.0.0.1:80\"]' | key: give the key of an operator",
+                "'[' | cannot be read as YAML",
+            })
+    void faultySettingsAreNamedWithFileAndWhatIsAllowed(String yaml, String expected)
+            throws IOException {
+        Path file = Files.writeString(mDirectory.resolve("ctl.yaml"), yaml);
+        assertThat(run("--settings", file.toString(), "get")).isEqualTo(2);
+        String firstLine = mErr.toString().lines().findFirst().orElseThrow();
+        assertThat(firstLine).startsWith(file.toString()).contains(expected);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'',2", "fly,2", "get a b,2", "set a,2", "get --colour,2", "wait soon,2"})
+    void faultyCommandLineEndsWithUsage(String words, int code) {
+        assertThat(runAtRouter(words.isEmpty() ? new String[0] : words.split(" "))).isEqualTo(code);
+        assertThat(mErr.toString()).contains("magnoliapickctl --help");
+        assertThat(mRouter.calls()).isEmpty();
+    }
+
+    @Test
+    void settingsArePrintedAsTableOrJson() {
+        mRouter.answer(
+                "GET settings/teams/a",
+                200,
+                "{\"settings\":{\"teams/a/weight\":{\"value\":2.0,\"version\":3}}}");
+        assertThat(runAtRouter("get", "teams/a")).isZero();
+        assertThat(mOut.toString().lines())
+                .containsExactly("PATH            VALUE  VERSION", "teams/a/weight  2.0    3");
+        assertThat(runAtRouter("get", "teams/a", "--output", "json")).isZero();
+        assertThat(mOut.toString()).contains("\"version\" : 3");
+    }
+
+    @Test
+    void changeCarriesValueAndExpectedVersion() {
+        mRouter.answer("PUT settings/teams/a/weight", 200, ACCEPTED);
+        assertThat(runAtRouter("set", "teams/a/weight", "2", "--expect", "5")).isZero();
+        assertThat(mRouter.calls()).containsExactly("PUT settings/teams/a/weight 2");
+        assertThat(mRouter.preconditions()).containsExactly("\"5\"");
+        assertThat(mOut.toString()).contains("Accepted at offset 7.");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "bad-request,400,1,teams/a/weight must be",
+        "precondition-failed,412,1,magnoliapickctl history",
+        "forbidden,403,1,Ask an operator",
+        "unauthenticated,401,1,Check the key",
+        "log-unavailable,503,3,Not accepted",
+        "change-unknown,503,4,magnoliapickctl change t-9",
+    })
+    void refusalsAreToldApart(String error, int status, int code, String expected) {
+        String problem =
+                "{\"error\":\""
+                        + error
+                        + "\",\"detail\":\"teams/a/weight must be above 0\","
+                        + "\"token\":\"t-9\",\"path\":\"teams/a/weight\"}";
+        mRouter.answer("PUT settings/teams/a/weight", status, problem);
+        assertThat(runAtRouter("set", "teams/a/weight", "0")).isEqualTo(code);
+        assertThat(mErr.toString()).contains(expected);
+    }
+
+    @Test
+    void nextRouterIsTriedWhenOneIsDown() throws IOException {
+        mRouter.answer("GET workspaces", 200, "[]");
+        String down = "127.0.0.1:" + closedPort();
+        List<String> args = List.of("--router", down, "--router", mRouter.address(), "--key", "k");
+        assertThat(run(args, "workspace", "list")).isZero();
+        assertThat(run(List.of("--router", down, "--key", "k"), "workspace", "list")).isEqualTo(5);
+        assertThat(mErr.toString()).contains("nothing was changed");
+    }
+
+    @Test
+    void lostAnswerNamesTheTokenToAskWith() {
+        assertThat(runAtRouter("set", "teams/a/weight", "2", "--token", "t-1")).isEqualTo(4);
+        assertThat(mErr.toString()).contains("magnoliapickctl change t-1");
+    }
+
+    @Test
+    void applyPrintsThePlanAndChangesOnlyWhatDiffers() throws IOException {
+        Path file =
+                Files.writeString(
+                        mDirectory.resolve("tree.yaml"),
+                        "teams:\n  a:\n    weight: 2\n    workspaces:\n      x: {weight: 3}\n"
+                                + "      y: {weight: null}\n");
+        mRouter.answerWithTag(
+                "GET settings/teams/a",
+                "\"9\"",
+                "{\"settings\":{\"teams/a/weight\":{\"value\":2.0},"
+                        + "\"teams/a/workspaces/x/weight\":{\"value\":1.0},"
+                        + "\"teams/a/workspaces/y/weight\":{\"value\":1.0}}}");
+        mRouter.answer("PATCH settings/teams/a", 200, ACCEPTED);
+        assertThat(runAtRouter("apply", "-f", file.toString())).isZero();
+        assertThat(mOut.toString().lines())
+                .containsExactly(
+                        "Plan:",
+                        "~ teams/a/workspaces/x/weight = 3  (was 1.0)",
+                        "- teams/a/workspaces/y/weight  (was 1.0)",
+                        "Accepted at offset 7.");
+        assertThat(mRouter.calls())
+                .last()
+                .isEqualTo(
+                        "PATCH settings/teams/a"
+                                + " {\"workspaces/x/weight\":3,\"workspaces/y/weight\":null}");
+        assertThat(mRouter.preconditions()).last().isEqualTo("\"9\"");
+    }
+
+    @Test
+    void diffChangesNothing() throws IOException {
+        Path file = Files.writeString(mDirectory.resolve("tree.yaml"), "teams: {a: {weight: 2}}");
+        mRouter.answer("GET settings/teams/a/weight", 404, "{\"error\":\"not-found\"}");
+        assertThat(runAtRouter("diff", file.toString())).isZero();
+        assertThat(mOut.toString()).contains("+ teams/a/weight = 2");
+        assertThat(mRouter.calls()).containsExactly("GET settings/teams/a/weight");
+    }
+
+    @Test
+    void waitEndsWhenEveryInstanceThatAnswersHasTheOffset() {
+        mRouter.answer(
+                "GET fleet/status",
+                200,
+                "{\"instances\":[{\"instance\":\"r1\",\"offset\":7}],\"unanswered\":[\"r2\"]}");
+        assertThat(runAtRouter("wait", "7")).isZero();
+        assertThat(mOut.toString()).contains("on all 1 instances").contains("Did not answer: r2");
+        assertThat(runAtRouter("wait", "8", "--timeout-ms", "100")).isEqualTo(1);
+        assertThat(mErr.toString()).contains("0 of 1 instances have it");
+    }
+
+    @Test
+    void explanationIsPrintedAsSentences() {
+        mRouter.answer(
+                "GET explain/comparison",
+                200,
+                "{\"sentences\":[\"A got less.\"],\"unanswered\":[]}");
+        assertThat(runAtRouter("explain", "--compare", "a", "b")).isZero();
+        assertThat(mOut.toString().lines())
+                .containsExactly("A got less.", "Every instance answered.");
+        assertThat(runAtRouter("explain", "--workspace", "a", "--since", "9d")).isEqualTo(2);
+    }
+
+    @Test
+    void burnReportIsWrittenAsPage() throws IOException {
+        mRouter.answer(
+                "GET report/burn",
+                200,
+                "{\"fromMillis\":0,\"toMillis\":3600000,\"stepMillis\":60000,\"configOffset\":1,"
+                        + "\"unanswered\":[],\"gapUnits\":[0.0],\"workspaces\":[]}");
+        Path page = mDirectory.resolve("burn.html");
+        assertThat(runAtRouter("report", "burn", "--html", page.toString())).isZero();
+        assertThat(Files.readString(page)).startsWith("<!DOCTYPE html>");
+        assertThat(runAtRouter("report", "burn")).isZero();
+    }
+
+    @Test
+    void completionNamesCommandsAndOptions() {
+        assertThat(run("completion", "bash")).isZero();
+        assertThat(mOut.toString()).contains("drain").contains("--dry-run").contains("complete -o");
+    }
+
+    private int runAtRouter(String... args) {
+        return run(List.of("--router", mRouter.address(), "--key", "k"), args);
+    }
+
+    private int run(List<String> before, String... args) {
+        List<String> all = new ArrayList<>(before);
+        all.addAll(Arrays.asList(args));
+        return run(all.toArray(new String[0]));
+    }
+
+    private int run(String... args) {
+        Console console = new Console(new PrintWriter(mOut), new PrintWriter(mErr));
+        return Main.run(args, Map.of("HOME", mDirectory.toString()), console);
+    }
+
+    private static int closedPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+}
--- a/magnoliapick-report/src/main/java/org/magnoliapick/report/package-info.java
+++ b/magnoliapick-report/src/main/java/org/magnoliapick/report/package-info.java
@@ -1,2 +1,2 @@
-/** The service-level burn report. */
+/** The service-level report as text and as a page. */
 package org.magnoliapick.report;
