--- a/magnoliapick-load/src/main/java/org/magnoliapick/load/LoadPlan.java
+++ b/magnoliapick-load/src/main/java/org/magnoliapick/load/LoadPlan.java
@@ -4,12 +4,14 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 /**
@@ -111,6 +113,9 @@
             LoadPlan plan = mapper.readValue(Files.readAllBytes(file), LoadPlan.class);
             plan.check();
             return plan;
+        } catch (UnrecognizedPropertyException e) {
+            String allowed = new TreeSet<>(e.getKnownPropertyIds()).toString();
+            throw new PlanException(file + ": " + pathOf(e) + ": unknown; allowed are " + allowed);
         } catch (JsonMappingException e) {
             throw new PlanException(file + ": " + pathOf(e) + ": " + firstLine(e));
         } catch (JsonProcessingException e) {
