--- a/magnoliapick-core/src/test/java/org/magnoliapick/member/MemberTableTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/member/MemberTableTest.java
@@ -31,6 +31,7 @@
         list(0, upstream(MemberState.LIVE));
 
         mTable.listed(List.of(), List.of(), 100_000);
+        assertThat(upstreamState(150_000)).isEqualTo(MemberState.LIVE);
         mTable.listUnreadable(200_000);
 
         assertThat(upstreamState(200_000)).isEqualTo(MemberState.LIVE);
--- /dev/null
+++ b/magnoliapick-proof/src/test/java/org/magnoliapick/proof/package-info.java
@@ -0,0 +1,2 @@
+/** The fault matrix and the model checks. */
+package org.magnoliapick.proof;
