Read the configuration through a few relays in a large failure domain

Cause: every instance read the configuration stream; at 2,700 nodes the log would have 2,700 readers, and an outage would be met by all of them at once. Change: beyond 8 live instances in a failure domain the first 3 by rendezvous hash read the log and serve their recent entries; the others ask them once a second. A relay that cannot reach the log says so, so that nobody storms it; a relay that does not answer is passed over. Orders to engines are now carried out too: the planner runs once a second in each instance. Ruled out: forwarding by push, which needs acknowledgements to stand loss. Not measured yet: a failure domain of more than 8 real instances. Conclusion: 30 failure domains give 90 readers; the delay added is one poll of a second.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/Rendezvous.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/Rendezvous.java
@@ -4,8 +4,11 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.PoolId;
@@ -25,19 +28,27 @@
                 view.routers().stream().filter(each -> each.state().takesNewWork()).toList();
         List<RouterMember> near =
                 live.stream().filter(each -> each.domain().equals(pool.domain())).toList();
-        String subject = duty + '/' + pool;
-        return (near.isEmpty() ? live : near)
-                .stream()
-                        .map(RouterMember::id)
-                        .max(
-                                Comparator.comparingLong((InstanceId id) -> weight(id, subject))
-                                        .thenComparing(Comparator.naturalOrder()));
+        List<InstanceId> candidates =
+                (near.isEmpty() ? live : near).stream().map(RouterMember::id).toList();
+        return top(duty + '/' + pool, candidates, 1).stream().findFirst();
     }
 
-    private static long weight(InstanceId instance, String subject) {
+    /** Returns the members with the greatest weights for a subject, the greatest first. */
+    public static <T extends Comparable<T>> List<T> top(
+            String subject, Collection<T> members, int count) {
+        Map<T, Long> weights = new HashMap<>();
+        members.forEach(member -> weights.put(member, weight(member.toString(), subject)));
+        Comparator<T> order = Comparator.comparing(weights::get);
+        return members.stream()
+                .sorted(order.thenComparing(Comparator.naturalOrder()).reversed())
+                .limit(count)
+                .toList();
+    }
+
+    private static long weight(String member, String subject) {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            digest.update(instance.value().getBytes(StandardCharsets.UTF_8));
+            digest.update(member.getBytes(StandardCharsets.UTF_8));
             digest.update((byte) 0);
             digest.update(subject.getBytes(StandardCharsets.UTF_8));
             return ByteBuffer.wrap(digest.digest()).getLong();
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/RouterTree.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/RouterTree.java
@@ -4,94 +4,88 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import org.magnoliapick.admin.ConfigFollower;
-import org.magnoliapick.config.FleetConfig;
-import org.magnoliapick.platform.Platform;
 import org.magnoliapick.router.internal.admin.SummaryPart;
 import org.magnoliapick.router.internal.caller.Attempts;
 import org.magnoliapick.router.internal.caller.RequestReader;
 import org.magnoliapick.router.internal.claim.LogClaims;
+import org.magnoliapick.router.internal.config.ConfigPart;
+import org.magnoliapick.router.internal.config.RelayedLog;
 import org.magnoliapick.router.internal.member.MemberPart;
-import org.magnoliapick.router.internal.member.PeerPort;
+import org.magnoliapick.router.internal.order.OrderPart;
 import org.magnoliapick.router.internal.peer.PeerPart;
 import org.magnoliapick.router.internal.share.ShareLoop;
 import org.magnoliapick.router.internal.supervisor.Supervisor;
 import org.magnoliapick.router.internal.upstream.LoadPart;
-import org.magnoliapick.rpc.PeerLinks;
-import org.magnoliapick.rpc.PeerServer;
 
 /** The supervisor tree of the process, and who hears of what. */
 @Singleton
 public final class RouterTree implements Managed {
-    private final Supervisor mRoot;
-    private final PeerServer mPeerServer;
-    private final PeerLinks mLinks;
-    private final PeerPort mPeerPort;
-    private final RouterThreads mThreads;
-    private final Platform mPlatform;
+    private final RouterSockets mSockets;
+    private final Supervisor mRoot = new Supervisor("router");
 
     @Inject
-    RouterTree(
-            ShareLoop shares,
-            ConfigPart config,
-            MemberPart members,
+    RouterTree(RouterSockets sockets) {
+        mSockets = sockets;
+    }
+
+    /** Hangs the parts into the tree; supervisors start in this order and stop in the other. */
+    @Inject
+    void hang(
             PeerPart peers,
             LoadPart loads,
-            LogClaims claims,
+            OrderPart orders,
+            ConfigPart config,
+            MemberPart members,
             SummaryPart summaries,
-            PeerServer peerServer,
-            PeerLinks links,
-            PeerPort peerPort,
-            RouterThreads threads,
-            Platform platform) {
-        mThreads = threads;
-        mPlatform = platform;
-        mPeerServer = peerServer;
-        mLinks = links;
-        mPeerPort = peerPort;
-        Supervisor outside = new Supervisor("platform").with(config).with(members).with(summaries);
-        Supervisor upstreams = new Supervisor("upstreams").with(loads);
-        Supervisor fleet = new Supervisor("fleet").with(peers);
-        mRoot =
-                new Supervisor("router")
-                        .with(fleet)
-                        .with(upstreams)
-                        .with(outside)
-                        .with(claims.supervisor())
-                        .with(shares);
+            LogClaims claims,
+            ShareLoop shares) {
+        mRoot.with(new Supervisor("fleet").with(peers))
+                .with(new Supervisor("upstreams").with(loads).with(orders))
+                .with(new Supervisor("platform").with(config).with(members).with(summaries))
+                .with(claims.supervisor())
+                .with(shares);
     }
 
     @Inject
-    void listen(
-            ConfigFollower config,
+    void listenToMembers(
             MemberPart members,
-            Readiness readiness,
-            RequestReader reader,
-            ShareLoop shares,
             Attempts attempts,
             PeerPart peers,
-            LoadPart loads) {
+            LoadPart loads,
+            OrderPart orders,
+            RelayedLog log,
+            ShareLoop shares) {
         members.addListener(attempts);
         members.addListener(peers);
         members.addListener(loads);
+        members.addListener(orders);
+        members.addListener(log);
         members.addListener(shares::viewChanged);
+    }
+
+    @Inject
+    void listenToConfig(
+            ConfigFollower config,
+            RequestReader reader,
+            OrderPart orders,
+            ShareLoop shares,
+            Readiness readiness) {
         config.addListener(reader::configChanged);
+        config.addListener(orders::configChanged);
         config.addListener(shares::configChanged);
-        config.addListener((FleetConfig inForce) -> readiness.configured());
+        config.addListener(inForce -> readiness.configured());
     }
 
     @Override
     public void start() {
-        mPeerPort.set(mPeerServer.port());
-        mPeerServer.start();
+        mSockets.open();
         mRoot.start();
     }
 
     @Override
     public void stop() {
-        mThreads.close();
-        mPlatform.close();
+        mSockets.closeCalls();
         mRoot.stop();
-        mPeerServer.close();
-        mLinks.close();
+        mSockets.closePeers();
     }
 }
