--- a/magnoliapick-load/src/main/java/org/magnoliapick/load/Balancer.java
+++ b/magnoliapick-load/src/main/java/org/magnoliapick/load/Balancer.java
@@ -1,5 +1,6 @@
 package org.magnoliapick.load;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -7,7 +8,7 @@
 import org.apache.hc.core5.http.HttpHost;
 
 /** Picks entry instances in turn and leaves out those that do not say that they are ready. */
-final class Balancer {
+final class Balancer implements AutoCloseable {
     private static final long CHECK_MILLIS = 200;
 
     private final LoadClient mClient;
@@ -15,6 +16,7 @@
     private final String mReadyPath;
     private final Map<HttpHost, Boolean> mIsReady = new ConcurrentHashMap<>();
     private final AtomicInteger mNext = new AtomicInteger();
+    private final List<Thread> mThreads = new ArrayList<>();
 
     Balancer(LoadClient client, LoadPlan plan) {
         mClient = client;
@@ -32,12 +34,13 @@
             Thread thread = new Thread(() -> checkForever(router), "balancer");
             thread.setDaemon(true);
             thread.start();
+            mThreads.add(thread);
         }
     }
 
     private void checkForever(HttpHost router) {
         try {
-            while (true) {
+            while (!Thread.currentThread().isInterrupted()) {
                 Thread.sleep(CHECK_MILLIS);
                 check(router);
             }
@@ -61,4 +64,13 @@
         }
         return candidate;
     }
+
+    /** Stops asking; a question that is under way is answered first. */
+    @Override
+    public void close() throws InterruptedException {
+        for (Thread thread : mThreads) {
+            thread.interrupt();
+            thread.join();
+        }
+    }
 }
--- a/magnoliapick-load/src/main/java/org/magnoliapick/load/LoadRun.java
+++ b/magnoliapick-load/src/main/java/org/magnoliapick/load/LoadRun.java
@@ -54,6 +54,7 @@
                 }
             }
         }
+        mBalancer.close();
         RunRecords records = RunRecords.read(mClient, mPlan);
         mTold.forEach((nonce, told) -> records.check(nonce, told.verdict(), told.tally()));
         return LoadReport.of(mTallies, records.isComplete(), seconds());
