--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/PolicyBench.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/PolicyBench.java
@@ -17,6 +17,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.apache.commons.cli.help.HelpFormatter;
+import org.magnoliapick.bench.driver.EncodedSize;
 import org.magnoliapick.bench.driver.Measurements;
 import org.magnoliapick.bench.driver.MessageSize;
 import org.magnoliapick.bench.driver.Simulation;
@@ -140,7 +141,8 @@
     }
 
     private static Measurements simulate(Scenario scenario, Policy policy, long seed) {
-        return new Simulation(scenario, policy, seed, MessageSize.NOT_MEASURED).run();
+        MessageSize size = policy.messagesAreWhole() ? new EncodedSize() : MessageSize.NOT_MEASURED;
+        return new Simulation(scenario, policy, seed, size).run();
     }
 
     private void print(CommandLine line, List<PolicyRow> rows) throws IOException {
--- /dev/null
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Micro-benchmarks and the slopes from which the capacity of each role is worked out. */
+package org.magnoliapick.bench.capacity;
--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/policy/Policies.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/policy/Policies.java
@@ -15,7 +15,11 @@
     /** The name of the policy that the targets compare with. */
     public static final String IDEAL = "ideal";
 
-    private record Baseline(String label, boolean sharesOneNode, Function<Oracle, Nodes> nodes)
+    private record Baseline(
+            String label,
+            boolean sharesOneNode,
+            boolean messagesAreWhole,
+            Function<Oracle, Nodes> nodes)
             implements Policy {
         @Override
         public Nodes open(Oracle oracle) {
@@ -35,6 +39,11 @@
             return false;
         }
 
+        @Override
+        public boolean messagesAreWhole() {
+            return true;
+        }
+
         @Override
         public Nodes open(Oracle oracle) {
             return (self, domain, incarnation, seed) ->
@@ -56,11 +65,15 @@
 
     private static Map<String, Policy> all() {
         Map<String, Policy> policies = new LinkedHashMap<>();
-        add(policies, new Baseline(IDEAL, true, Policies::idealNodes));
+        add(policies, new Baseline(IDEAL, true, true, Policies::idealNodes));
         add(
                 policies,
-                new Baseline("round-robin", false, oracle -> (s, d, i, r) -> new RoundRobinNode()));
-        add(policies, new Baseline("gossip", false, Policies::gossipNodes));
+                new Baseline(
+                        "round-robin",
+                        false,
+                        true,
+                        oracle -> (s, d, i, r) -> new RoundRobinNode()));
+        add(policies, new Baseline("gossip", false, false, Policies::gossipNodes));
         for (SharePolicy policy : SharePolicy.values()) {
             add(policies, new Decided(policy));
         }
--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/policy/Policy.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/policy/Policy.java
@@ -18,6 +18,9 @@
     /** Returns whether all entry instances drive one and the same node. */
     boolean sharesOneNode();
 
+    /** Returns whether its messages hold all that they tell, so that their size counts. */
+    boolean messagesAreWhole();
+
     /** Starts a run. */
     Nodes open(Oracle oracle);
 }
