--- a/magnoliapick-core/src/main/java/org/magnoliapick/claim/ClaimBatcher.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/claim/ClaimBatcher.java
@@ -19,7 +19,7 @@
  */
 public final class ClaimBatcher {
     /** The least distance of two appends at today's sizes, in milliseconds. */
-    public static final long DEFAULT_LINGER_MILLIS = 25;
+    public static final long DEFAULT_LINGER_MILLIS = 50;
 
     /** The time after which an entry that was appended and not read back is appended again. */
     public static final long READ_BACK_MILLIS = 2_000;
--- a/magnoliapick-proof/src/test/java/org/magnoliapick/proof/ClaimScenario.java
+++ b/magnoliapick-proof/src/test/java/org/magnoliapick/proof/ClaimScenario.java
@@ -25,7 +25,7 @@
 
     @Override
     public void check(Enum<?> step, List<Fault> faults) {
-        RouterWorld world = new RouterWorld();
+        RouterWorld world = new RouterWorld(false);
         FakeRouter router = world.first();
         if (step == ClaimStep.COLLECTED) {
             router.call(FakeCall.Kind.KEYED, "other", RouterWorld.DEADLINE_MILLIS);
--- a/magnoliapick-proof/src/test/java/org/magnoliapick/proof/FakeRouter.java
+++ b/magnoliapick-proof/src/test/java/org/magnoliapick/proof/FakeRouter.java
@@ -66,6 +66,10 @@
         readLog();
         take(mBatcher.tick(mWorld.mNowMillis));
         deliverAll();
+        runTimers();
+    }
+
+    void runTimers() {
         for (FakeCall call : List.copyOf(mCalls)) {
             if (call.takeDeadline(mWorld.mNowMillis)) {
                 deliver(new Pending(call, new RequestEvent.DeadlinePassed(), ""));
--- a/magnoliapick-proof/src/test/java/org/magnoliapick/proof/RequestScenario.java
+++ b/magnoliapick-proof/src/test/java/org/magnoliapick/proof/RequestScenario.java
@@ -17,16 +17,23 @@
     public void check(Enum<?> step, List<Fault> faults) {
         int reached = 0;
         for (FakeCall.Kind kind : FakeCall.Kind.values()) {
-            RouterWorld world = new RouterWorld();
-            FakeCall call = world.first().call(kind, "key", RouterWorld.DEADLINE_MILLIS);
-            if (driveTo(world, call, (RequestState) step)) {
-                reached++;
-                strike(world, kind, faults);
-            }
+            reached += check(kind, (RequestState) step, faults, true) ? 1 : 0;
+            reached += check(kind, (RequestState) step, faults, false) ? 1 : 0;
         }
         assertThat(reached).as("kinds that pass " + step).isPositive();
     }
 
+    private static boolean check(
+            FakeCall.Kind kind, RequestState step, List<Fault> faults, boolean timersFirst) {
+        RouterWorld world = new RouterWorld(timersFirst);
+        FakeCall call = world.first().call(kind, "key", RouterWorld.DEADLINE_MILLIS);
+        if (!driveTo(world, call, step)) {
+            return false;
+        }
+        strike(world, kind, faults);
+        return true;
+    }
+
     private static boolean driveTo(RouterWorld world, FakeCall call, RequestState step) {
         if (step == RequestState.FAILED) {
             driveTo(world, call, RequestState.QUEUED);
--- a/magnoliapick-proof/src/test/java/org/magnoliapick/proof/RouterWorld.java
+++ b/magnoliapick-proof/src/test/java/org/magnoliapick/proof/RouterWorld.java
@@ -30,12 +30,19 @@
     final Map<String, UpstreamMode> mUpstreams = new HashMap<>();
     final Map<String, Integer> mRunsByKey = new HashMap<>();
     private final Map<Fault, Runnable> mStrikes = new EnumMap<>(Fault.class);
+    private final boolean mTimersFirst;
     boolean mFlooded;
     boolean mRepeats;
     long mNowMillis = START_MILLIS;
     private int mNames;
 
-    RouterWorld() {
+    /**
+     * Creates the world.
+     *
+     * @param timersFirst whether a process that wakes up runs its timers before what waits
+     */
+    RouterWorld(boolean timersFirst) {
+        mTimersFirst = timersFirst;
         mRouters.add(new FakeRouter("r1", this));
         mRouters.add(new FakeRouter("r2", this));
         mUpstreams.put("a", UpstreamMode.UP);
@@ -65,13 +72,20 @@
         mStrikes.put(
                 Fault.APPEND_ANSWER_LOST, () -> mLog.setMode(FakeLog.Mode.ANSWER_LOST, mNowMillis));
         mStrikes.put(Fault.ANSWER_LOST, () -> breakUpstreams(UpstreamMode.ANSWER_LOST));
-        mStrikes.put(Fault.PAUSE, () -> mNowMillis += PAUSE_MILLIS);
+        mStrikes.put(Fault.PAUSE, this::pause);
         mStrikes.put(Fault.UPSTREAM_LEAVES, () -> mUpstreams.put("a", UpstreamMode.LEAVING));
         mStrikes.put(Fault.UPSTREAM_DIES, () -> breakUpstreams(UpstreamMode.DEAD));
         mStrikes.put(Fault.CROSSED_ANSWER, () -> mRouters.forEach(FakeRouter::crossAnswers));
         mStrikes.put(Fault.REPEATED, () -> mRepeats = true);
     }
 
+    private void pause() {
+        mNowMillis += PAUSE_MILLIS;
+        if (mTimersFirst) {
+            mRouters.forEach(FakeRouter::runTimers);
+        }
+    }
+
     private void breakUpstreams(UpstreamMode mode) {
         mUpstreams.put("a", mode);
         mRouters.forEach(router -> router.loseAnswers("a"));
