--- a/magnoliapick-standin/src/main/java/org/magnoliapick/standin/ServiceOptions.java
+++ b/magnoliapick-standin/src/main/java/org/magnoliapick/standin/ServiceOptions.java
@@ -1,9 +1,12 @@
 package org.magnoliapick.standin;
 
+import java.util.List;
 import java.util.function.LongSupplier;
 
 /** How a plain-service stand-in behaves. */
 public final class ServiceOptions {
+    private static final List<String> FLAVOURS = List.of("draws", "orders");
+
     String mHost = "127.0.0.1";
     int mPort;
     String mFlavour = "draws";
@@ -24,8 +27,15 @@
         return this;
     }
 
-    /** Sets what it answers with: {@code draws} or {@code orders}. */
+    /**
+     * Sets what it answers with: {@code draws} or {@code orders}.
+     *
+     * @throws IllegalArgumentException for any other flavour
+     */
     public ServiceOptions setFlavour(String flavour) {
+        if (!FLAVOURS.contains(flavour)) {
+            throw new IllegalArgumentException("flavour is one of " + FLAVOURS);
+        }
         mFlavour = flavour;
         return this;
     }
--- a/magnoliapick-standin/src/main/java/org/magnoliapick/standin/StandinCommand.java
+++ b/magnoliapick-standin/src/main/java/org/magnoliapick/standin/StandinCommand.java
@@ -53,6 +53,9 @@
         } catch (NumberFormatException e) {
             print(mName + ": not a number: " + e.getMessage());
             System.exit(EXIT_USAGE);
+        } catch (IllegalArgumentException e) {
+            print(mName + ": " + e.getMessage());
+            System.exit(EXIT_USAGE);
         }
         Thread.currentThread().join();
     }
