--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/CapacityBench.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/CapacityBench.java
@@ -28,8 +28,9 @@
 import org.magnoliapick.share.ShareMessage;
 
 /**
- * Measures what each role costs at four sizes or more, and prints the line through the points. Times
- * are processor time of the measuring thread; memory is what the heap keeps after a collection.
+ * Measures what each role costs at four sizes or more, and prints the line through the points.
+ * Times are processor time of the measuring thread; memory is what the heap keeps after a
+ * collection.
  */
 public final class CapacityBench {
     private static final int INSTANCES = 90;
