--- /dev/null
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/internal/share/FairIndexTest.java
@@ -0,0 +1,99 @@
+package org.magnoliapick.internal.share;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.magnoliapick.config.FleetConfig;
+import org.magnoliapick.config.WorkspaceConfig;
+import org.magnoliapick.lib.WorkspaceId;
+
+final class FairIndexTest {
+    private static final String SEED = "4711";
+    private static final WorkspaceId A = new WorkspaceId("a");
+    private static final WorkspaceId B = new WorkspaceId("b");
+    private static final WorkspaceId C = new WorkspaceId("c");
+
+    private final FairIndex mIndex = new FairIndex();
+
+    @Test
+    void picksTheLeastServed() {
+        mIndex.backlogged(A, false);
+        mIndex.backlogged(B, false);
+        mIndex.charge(A, 10);
+        assertThat(mIndex.least()).contains(B);
+        mIndex.setInFlight(B, 20);
+        assertThat(mIndex.least()).contains(A);
+    }
+
+    @Test
+    void liftsAWorkspaceThatReturnsFromIdle() {
+        mIndex.backlogged(A, false);
+        mIndex.noteCost(5);
+        mIndex.charge(A, 500);
+        mIndex.backlogged(B, false);
+        assertThat(mIndex.key(B)).isEqualTo(495);
+    }
+
+    @Test
+    void carriesNoUnboundedLead() {
+        mIndex.backlogged(A, false);
+        mIndex.backlogged(B, false);
+        mIndex.charge(A, 1e12);
+        assertThat(mIndex.key(A)).isLessThanOrEqualTo(1_000);
+    }
+
+    @Test
+    void dividesTheTeamsShareAmongItsActiveWorkspaces() {
+        mIndex.setConfig(
+                new FleetConfig(
+                        1,
+                        Map.of("t", 2.0),
+                        Map.of(
+                                A, new WorkspaceConfig(A, "t", 1, List.of(), 10),
+                                B, new WorkspaceConfig(B, "t", 3, List.of(), 10),
+                                C, new WorkspaceConfig(C, "t", 9, List.of(), 10)),
+                        Map.of()));
+        mIndex.backlogged(A, false);
+        assertThat(mIndex.weight(A)).isEqualTo(2.0);
+        mIndex.backlogged(B, false);
+        assertThat(mIndex.weight(A)).isEqualTo(0.5);
+        assertThat(mIndex.weight(B)).isEqualTo(1.5);
+        mIndex.satisfied(B);
+        assertThat(mIndex.weight(A)).isEqualTo(2.0);
+    }
+
+    @Property(seed = SEED, tries = 300)
+    void noCostPoisonsACounter(@ForAll List<Double> costs, @ForAll boolean inFlight) {
+        mIndex.backlogged(A, false);
+        mIndex.backlogged(B, false);
+        for (double cost : costs) {
+            mIndex.charge(A, cost);
+            mIndex.noteCost(cost);
+            mIndex.setInFlight(B, inFlight ? cost : 0);
+        }
+        for (WorkspaceId workspace : List.of(A, B)) {
+            assertThat(mIndex.key(workspace)).isBetween(0.0, Units.MAX_COUNTER_UNITS);
+        }
+        assertThat(mIndex.backloggedCount()).isEqualTo(2);
+        mIndex.setInFlight(A, 0);
+        mIndex.setInFlight(B, 0);
+        mIndex.satisfied(A);
+        mIndex.satisfied(B);
+        assertThat(mIndex.least()).isEmpty();
+    }
+
+    @Property(seed = SEED, tries = 300)
+    void usageOfARequestNeverFallsOrLeavesItsRange(@ForAll List<Double> reports) {
+        Running running = new Running(ShareFixture.request("1", "a"), null, 400);
+        double before = 0;
+        for (double report : reports) {
+            assertThat(running.use(report)).isGreaterThanOrEqualTo(0);
+            assertThat(running.usedUnits()).isBetween(before, Units.MAX_REQUEST_UNITS);
+            before = running.usedUnits();
+        }
+    }
+}
