--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Dispatcher.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Dispatcher.java
@@ -246,7 +246,7 @@
                 grants.remove();
                 mSlots.take(grant.upstream(), -1);
                 WorkspaceId workspace = grant.entry().key().workspace();
-                mInFlight.replace(workspace, grant.estimateUnits(), 0);
+                replaceInFlight(workspace, grant.estimateUnits(), 0);
                 change(grant.entry(), () -> grant.entry().addGranted(-1, nowMillis));
             }
         }
@@ -346,7 +346,7 @@
                                 estimate,
                                 nowMillis + mSettings.grantMillis()));
         mSlots.take(upstream.id(), 1);
-        mInFlight.replace(workspace, 0, estimate);
+        replaceInFlight(workspace, 0, estimate);
         change(entry, () -> entry.addGranted(1, nowMillis));
         mNewGrants
                 .computeIfAbsent(router.id(), id -> new ArrayList<>())
