Build the typed view of the configuration in one pass

Change: settings of a group stand side by side in the tree, so one pass groups them without splitting each path.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/config/FleetConfigBuilder.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/config/FleetConfigBuilder.java
@@ -16,6 +16,8 @@
 
 /** Builds the typed view from the settings in force. */
 final class FleetConfigBuilder {
+    private static final String FLEET_PREFIX = "fleet/";
+    private static final String OBJECTIVES_PREFIX = "objectives/";
     private static final int NAME_SEGMENT = 1;
     private static final int GROUP_SEGMENT = 2;
     private static final int MEMBER_SEGMENT = 3;
@@ -34,7 +36,22 @@
     }
 
     FleetConfig build(SortedMap<String, Setting> settings) {
-        groups(settings).forEach(this::addGroup);
+        String group = "";
+        SortedMap<String, Setting> members = new TreeMap<>();
+        // The settings of a group share a prefix, so they stand side by side.
+        for (Map.Entry<String, Setting> each : settings.entrySet()) {
+            String path = each.getKey();
+            int groupChars = groupChars(path);
+            boolean isSameGroup =
+                    group.length() == groupChars && path.regionMatches(0, group, 0, groupChars);
+            if (!isSameGroup) {
+                addGroup(group, members);
+                group = path.substring(0, groupChars);
+                members = new TreeMap<>();
+            }
+            members.put(path.substring(groupChars + 1), each.getValue());
+        }
+        addGroup(group, members);
         return new FleetConfig(
                 mOffset,
                 mTeamWeights,
@@ -46,32 +63,24 @@
                 mDraining);
     }
 
-    /** Gathers the settings of each team, workspace, operator, target, order and upstream. */
-    private static Map<String, SortedMap<String, Setting>> groups(
-            SortedMap<String, Setting> settings) {
-        Map<String, SortedMap<String, Setting>> groups = new TreeMap<>();
-        settings.forEach(
-                (path, setting) -> {
-                    String[] segments = SettingPath.split(path);
-                    String group = groupOf(segments);
-                    groups.computeIfAbsent(group, name -> new TreeMap<>())
-                            .put(path.substring(group.length() + 1), setting);
-                });
-        return groups;
+    /** Returns the length of the path of the team, workspace, operator, target or upstream. */
+    private static int groupChars(String path) {
+        int second = nextSlash(path, nextSlash(path, -1));
+        int third = nextSlash(path, second);
+        if (third < 0) {
+            return second;
+        }
+        return path.startsWith(FLEET_PREFIX) ? third : nextSlash(path, third);
     }
 
-    private static String groupOf(String[] segments) {
-        boolean isFleet = segments[0].equals("fleet");
-        boolean isNested = isFleet || segments.length > MEMBER_SEGMENT;
-        String top = segments[0] + "/" + segments[NAME_SEGMENT];
-        if (!isNested) {
-            return top;
-        }
-        String second = top + "/" + segments[GROUP_SEGMENT];
-        return isFleet ? second : second + "/" + segments[MEMBER_SEGMENT];
+    private static int nextSlash(String path, int after) {
+        return path.indexOf('/', after + 1);
     }
 
     private void addGroup(String group, SortedMap<String, Setting> settings) {
+        if (settings.isEmpty()) {
+            return;
+        }
         String[] segments = SettingPath.split(group);
         if (segments[0].equals("fleet")) {
             addFleetGroup(segments[NAME_SEGMENT], segments[GROUP_SEGMENT], settings);
@@ -125,8 +134,12 @@
 
     private static Map<RequestClass, Objective> objectives(SortedMap<String, Setting> settings) {
         Map<RequestClass, Objective> objectives = new HashMap<>();
+        SortedMap<String, Setting> later = settings.tailMap(OBJECTIVES_PREFIX);
+        if (later.isEmpty() || !later.firstKey().startsWith(OBJECTIVES_PREFIX)) {
+            return objectives;
+        }
         for (RequestClass requestClass : RequestClass.values()) {
-            String prefix = "objectives/" + requestClass.wireName() + "/";
+            String prefix = OBJECTIVES_PREFIX + requestClass.wireName() + "/";
             if (settings.subMap(prefix, prefix + Character.MAX_VALUE).isEmpty()) {
                 continue;
             }
