--- a/magnoliapick-core/src/main/java/org/magnoliapick/request/RequestMachine.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/request/RequestMachine.java
@@ -8,7 +8,6 @@
 import org.magnoliapick.claim.ClaimOutcome;
 import org.magnoliapick.claim.ClaimVerdict;
 import org.magnoliapick.errors.ErrorKind;
-import org.magnoliapick.errors.Outcome;
 import org.magnoliapick.lib.AttemptId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.share.EndOfAttempt;
@@ -27,15 +26,14 @@
 
     private final RequestPlan mPlan;
     private final RetryAllowance mAllowance;
+    private final RunRecord mRuns = new RunRecord();
     private final List<RequestAction> mActions = new ArrayList<>();
     private RequestState mState = RequestState.RECEIVED;
     private Optional<AttemptId> mAttempt = Optional.empty();
     private Optional<UpstreamId> mUpstream = Optional.empty();
-    private Optional<ErrorKind> mLastFailure = Optional.empty();
     private int mAttempts;
     private int mResumes;
     private int mChunksTaken;
-    private boolean mMayHaveRun;
     private boolean mHeadRelayed;
     private boolean mCallerGone;
     private boolean mClaimOpen;
@@ -60,7 +58,7 @@
 
     /** Returns whether the request may have run at an upstream. */
     public boolean mayHaveRun() {
-        return mMayHaveRun;
+        return mRuns.mayHaveRun();
     }
 
     /** Returns the number of events dropped because they came late, twice or from old attempts. */
@@ -296,8 +294,7 @@
         boolean notRun = mState == RequestState.GRANTED || end.provesNotRun();
         boolean neverLeft = mState == RequestState.GRANTED || end == AttemptEnd.NOT_SENT;
         if (!notRun) {
-            mMayHaveRun = true;
-            mLastFailure = Optional.of(end.errorKind());
+            mRuns.failed(end);
         }
         if (mayRetry(neverLeft, nowMillis)) {
             mActions.add(new RequestAction.ReleaseSlot(end.endOfAttempt()));
@@ -353,7 +350,7 @@
 
     private ErrorKind deadlineKind() {
         boolean sent = mState == RequestState.SENT || mState == RequestState.ANSWERING;
-        return sent || mMayHaveRun
+        return sent || mRuns.mayHaveRun()
                 ? ErrorKind.DEADLINE_AFTER_START
                 : ErrorKind.DEADLINE_BEFORE_START;
     }
@@ -364,7 +361,7 @@
             mActions.add(new RequestAction.Withdraw());
         }
         if (mState == RequestState.SENT || mState == RequestState.ANSWERING) {
-            mMayHaveRun = true;
+            mRuns.givenUpAfterSend();
             mActions.add(new RequestAction.CancelAttempt(currentAttempt(), currentUpstream()));
         }
         if (mState.holdsSlot()) {
@@ -379,7 +376,7 @@
     }
 
     private void end(ErrorKind kind, Optional<Long> retryAfterMillis) {
-        ErrorKind truth = truthful(kind);
+        ErrorKind truth = mRuns.truthful(kind);
         mState = RequestState.FAILED;
         if (!mCallerGone) {
             Optional<Long> wait =
@@ -387,15 +384,7 @@
                             .map(least -> Math.max(least, retryAfterMillis.orElse(0L)));
             mActions.add(new RequestAction.AnswerError(truth, wait, mHeadRelayed));
         }
-        recordOutcome(mMayHaveRun ? ClaimOutcome.UNKNOWN : ClaimOutcome.NOT_RUN);
-    }
-
-    /** Replaces a kind that says "not run" if an earlier attempt may have run. */
-    private ErrorKind truthful(ErrorKind kind) {
-        if (mMayHaveRun && kind.outcome() == Outcome.NOT_RUN) {
-            return mLastFailure.orElse(ErrorKind.INTERNAL_AFTER_START);
-        }
-        return kind;
+        recordOutcome(mRuns.claimOutcome());
     }
 
     private void recordOutcome(ClaimOutcome outcome) {
--- a/magnoliapick-proof/src/test/java/org/magnoliapick/proof/ConfigScenario.java
+++ b/magnoliapick-proof/src/test/java/org/magnoliapick/proof/ConfigScenario.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -30,6 +31,7 @@
     }
 
     private static final String PATH = "teams/gifts/weight";
+    private static final String UNREADABLE_ENTRY = "{\"reason\":";
     private static final int FLOOD_ENTRIES = 20;
     private static final int KEPT_ENTRIES = 5;
     private static final int ROUNDS = 5;
@@ -38,7 +40,7 @@
     private final List<Reader> mReaders = List.of(new Reader(), new Reader(), new Reader());
     private final Map<Long, String> mDigests = new HashMap<>();
     private final Map<Fault, Runnable> mStrikes = new EnumMap<>(Fault.class);
-    private final List<ConfigEntry> mToAppend = new ArrayList<>();
+    private final List<byte[]> mToAppend = new ArrayList<>();
     private boolean mRepeats;
 
     ConfigScenario() {
@@ -49,7 +51,7 @@
         mStrikes.put(Fault.LOG_SLOW, () -> mLog.setMode(FakeLog.Mode.SLOW, 0));
         mStrikes.put(Fault.APPEND_ANSWER_LOST, () -> mLog.setMode(FakeLog.Mode.ANSWER_LOST, 0));
         mStrikes.put(Fault.PAUSE, this::pauseBeyondRetention);
-        mStrikes.put(Fault.OPERATORS_RACE, () -> mToAppend.add(change("rival", 7)));
+        mStrikes.put(Fault.OPERATORS_RACE, () -> mToAppend.add(change("rival", 7).encode()));
         mStrikes.put(Fault.REPEATED, () -> mRepeats = true);
     }
 
@@ -72,7 +74,8 @@
     }
 
     private void drive(ConfigStep step) {
-        mToAppend.add(change("first", 3));
+        mToAppend.add(UNREADABLE_ENTRY.getBytes(StandardCharsets.UTF_8));
+        mToAppend.add(change("first", 3).encode());
         if (step.compareTo(ConfigStep.APPENDED) >= 0) {
             appendAll();
         }
@@ -96,13 +99,14 @@
 
     /** Appends again, under the same identifier, what got no answer. */
     private void appendAll() {
-        mToAppend.removeIf(entry -> mLog.append(entry.encode(), 0) == FakeLog.Answer.APPENDED);
+        mToAppend.removeIf(entry -> mLog.append(entry, 0) == FakeLog.Answer.APPENDED);
     }
 
     private void flood() {
         for (int i = 0; i < FLOOD_ENTRIES; i++) {
             String id = "flood-" + mToAppend.size() + "-" + mLog.end() + "-" + i;
-            mToAppend.add(entry(id, Map.of(), "teams/other/workspaces/w" + i + "/weight", 2));
+            String path = "teams/other/workspaces/w" + i + "/weight";
+            mToAppend.add(entry(id, Map.of(), path, 2).encode());
         }
     }
 
@@ -180,7 +184,7 @@
         private void apply(FakeLog.Entry entry) {
             assertThat(entry.offset()).as("no gap").isEqualTo(mState.offset() + 1);
             mState.apply(entry.offset(), entry.atMillis(), entry.payload());
-            if (mRepeats) {
+            if (mRepeats && mReaders.get(0) == this) {
                 mState.apply(entry.offset(), entry.atMillis(), entry.payload());
             }
             String known = mDigests.putIfAbsent(mState.offset(), mState.digest());
