Let the capacity load report its upstreams' slots first

Cause: since a dispatcher opens 8 slots of an upstream before its first load report; the load expected 16 at once and its test found 40 running of 80. Ruled out: the hash of the dispatcher, since the load's node always dispatches. Change: the load hands in a report per upstream, as a real fleet does. The test's expectation is unchanged. Conclusion: the fixture follows the rule; the rule stays.

--- a/magnoliapick-bench/src/main/java/org/magnoliapick/bench/capacity/GrantLoad.java
+++ b/magnoliapick-bench/src/main/java/org/magnoliapick/bench/capacity/GrantLoad.java
@@ -22,6 +22,7 @@
 import org.magnoliapick.member.MemberState;
 import org.magnoliapick.member.RouterMember;
 import org.magnoliapick.member.UpstreamMember;
+import org.magnoliapick.share.LoadReport;
 import org.magnoliapick.share.ShareAction;
 import org.magnoliapick.share.ShareMessage;
 import org.magnoliapick.share.ShareNode;
@@ -77,6 +78,11 @@
                         ShareSettings.defaults(self, START_MILLIS, DOMAIN, 1));
         mNode.configChanged(config(), START_MILLIS);
         mNode.viewChanged(view(instances, upstreams), START_MILLIS);
+        for (int i = 0; i < upstreams; i++) {
+            // The dispatcher opens all slots only once an upstream has told how many it has.
+            LoadReport report = new LoadReport(START_MILLIS, 0, 0, SLOTS, 0);
+            mNode.loadReported(new UpstreamId("engine-" + i), report, START_MILLIS);
+        }
         // The node itself is no client, so that each grant is a message that can be seen.
         for (int i = 1; i <= instances; i++) {
             Client client = new Client(new InstanceId("router-" + i));
