Refuse settings that nobody knows

Cause: a new test of the settings check misspelt a key and got no word of it: the reader passed over unknown keys, so a misspelt optional limit would have been silently ignored. Change: the settings reader is strict, in the check and at start; a claim window no longer than the longest request is refused too.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/config/WorkspaceConfig.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/config/WorkspaceConfig.java
@@ -10,7 +10,7 @@
  * @param team the team that it belongs to
  * @param weight its share of the team's share, relative to the team's other workspaces
  * @param keyHashes lower-case hexadecimal SHA-256 hashes of the keys that name it
- * @param maxQueued the most requests that may wait in one instance
+ * @param maxQueued the most requests that may wait for one target in one instance
  */
 public record WorkspaceConfig(
         WorkspaceId id, String team, double weight, List<String> keyHashes, int maxQueued) {
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterApplication.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterApplication.java
@@ -1,11 +1,16 @@
 package org.magnoliapick.router;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.inject.Guice;
 import com.google.inject.Injector;
+import io.dropwizard.configuration.ConfigurationFactory;
+import io.dropwizard.configuration.YamlConfigurationFactory;
 import io.dropwizard.core.Application;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
 import io.dropwizard.core.sslreload.SslReloadBundle;
+import jakarta.validation.Validator;
 import java.time.InstantSource;
 import org.magnoliapick.admin.AdminApi;
 import org.magnoliapick.admin.AdminServices;
@@ -30,6 +35,15 @@
     @Override
     public void initialize(Bootstrap<RouterSettings> bootstrap) {
         bootstrap.addBundle(new SslReloadBundle());
+        bootstrap.setConfigurationFactoryFactory(RouterApplication::strictFactory);
+    }
+
+    /** Reads settings so that a key nobody knows is a fault, not a silence. */
+    private static <T> ConfigurationFactory<T> strictFactory(
+            Class<T> type, Validator validator, ObjectMapper mapper, String prefix) {
+        ObjectMapper strict =
+                mapper.copy().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        return new YamlConfigurationFactory<>(type, validator, strict, prefix);
     }
 
     @Override
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterMain.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterMain.java
@@ -1,8 +1,8 @@
 package org.magnoliapick.router;
 
 import io.dropwizard.configuration.ConfigurationException;
+import io.dropwizard.configuration.ConfigurationFactory;
 import io.dropwizard.configuration.FileConfigurationSourceProvider;
-import io.dropwizard.configuration.YamlConfigurationFactory;
 import io.dropwizard.core.setup.Bootstrap;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -77,13 +77,17 @@
         if (!Files.isReadable(Path.of(file))) {
             return Optional.of(file + ": cannot be read");
         }
-        Bootstrap<RouterSettings> bootstrap = new Bootstrap<>(new RouterApplication());
-        YamlConfigurationFactory<RouterSettings> factory =
-                new YamlConfigurationFactory<>(
-                        RouterSettings.class,
-                        bootstrap.getValidatorFactory().getValidator(),
-                        bootstrap.getObjectMapper(),
-                        "dw");
+        RouterApplication application = new RouterApplication();
+        Bootstrap<RouterSettings> bootstrap = new Bootstrap<>(application);
+        application.initialize(bootstrap);
+        ConfigurationFactory<RouterSettings> factory =
+                bootstrap
+                        .getConfigurationFactoryFactory()
+                        .create(
+                                RouterSettings.class,
+                                bootstrap.getValidatorFactory().getValidator(),
+                                bootstrap.getObjectMapper(),
+                                "dw");
         try {
             factory.build(new FileConfigurationSourceProvider(), file);
             return Optional.empty();
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterSettings.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/RouterSettings.java
@@ -1,7 +1,9 @@
 package org.magnoliapick.router;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import io.dropwizard.core.Configuration;
+import io.dropwizard.validation.ValidationMethod;
 import jakarta.validation.Valid;
 import jakarta.validation.constraints.NotNull;
 
@@ -56,6 +58,18 @@
         mClaims = claims;
     }
 
+    /**
+     * Checks that an idempotency key is remembered for longer than its request can take: no
+     * deadline is longer than the drain time.
+     */
+    @JsonIgnore
+    @ValidationMethod(message = "claims.window must be longer than limits.drainTime")
+    public boolean isClaimWindowLongEnough() {
+        return mClaims == null
+                || mLimits == null
+                || mClaims.window.toMilliseconds() > mLimits.drainTime.toMilliseconds();
+    }
+
     /** Returns how the instance is administered. */
     @JsonProperty("admin")
     public AdminSettings admin() {
