Name the cause of an error kind in one place

Cause: the table from error kind to cause of a record stood in the shares and in the router. Change: Cause.of serves both; NOT_READY, log and claim kinds keep their causes. Conclusion: a new error kind has one place to be named.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Admission.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Admission.java
@@ -7,7 +7,6 @@
 import org.magnoliapick.config.WorkspaceConfig;
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.lib.WorkspaceId;
-import org.magnoliapick.record.Cause;
 import org.magnoliapick.share.QueuedRequest;
 
 /**
@@ -71,20 +70,6 @@
         return Math.max(least, Math.min(MAX_RETRY_AFTER_MILLIS, wait));
     }
 
-    /** Returns the cause that a record names for a refusal. */
-    static Cause cause(ErrorKind kind) {
-        switch (kind) {
-            case WORKSPACE_QUEUE_FULL:
-                return Cause.WORKSPACE_QUEUE_FULL;
-            case INSTANCE_QUEUE_FULL:
-                return Cause.INSTANCE_QUEUE_FULL;
-            case DEADLINE_BEFORE_START:
-                return Cause.DEADLINE;
-            default:
-                return Cause.NO_UPSTREAM;
-        }
-    }
-
     private boolean deadlineOutOfReach(QueuedRequest request, long nowMillis) {
         long left = request.deadlineMillis() - nowMillis;
         if (left <= 0) {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Notes.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/internal/share/Notes.java
@@ -34,7 +34,7 @@
         return note(
                 nowMillis,
                 Step.REFUSAL,
-                Admission.cause(kind),
+                Cause.of(kind),
                 request,
                 Optional.empty(),
                 Optional.empty(),
--- a/magnoliapick-core/src/main/java/org/magnoliapick/record/Cause.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/record/Cause.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import org.magnoliapick.errors.ErrorKind;
 
 /** The closed list of causes of decisions. */
 public enum Cause {
@@ -83,4 +84,34 @@
         }
         return Optional.empty();
     }
+
+    /** Returns the cause that records name for a request that ended with an error of a kind. */
+    public static Cause of(ErrorKind kind) {
+        switch (kind) {
+            case WORKSPACE_QUEUE_FULL:
+                return WORKSPACE_QUEUE_FULL;
+            case INSTANCE_QUEUE_FULL:
+                return INSTANCE_QUEUE_FULL;
+            case DEADLINE_BEFORE_START:
+            case DEADLINE_AFTER_START:
+                return DEADLINE;
+            case NO_UPSTREAM:
+                return NO_UPSTREAM;
+            case NOT_READY:
+                return DRAIN;
+            case UPSTREAM_REFUSED:
+                return UPSTREAM_REFUSED;
+            case LOG_UNAVAILABLE:
+                return LOG_DOWN;
+            case CLAIM_IN_PROGRESS:
+            case CLAIM_OUTCOME_UNKNOWN:
+            case ALREADY_RUN:
+            case KEY_REUSED:
+                return CLAIM;
+            case CALLER_GONE:
+                return CALLER_GONE;
+            default:
+                return UPSTREAM_FAILED;
+        }
+    }
 }
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/caller/RequestFlow.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/caller/RequestFlow.java
@@ -250,7 +250,7 @@
             KeptAnswer kept = mKept.orElseThrow();
             mAnswer.whole(kept.status(), kept.headers(), kept.body(), headers(Optional.empty()));
         } else if (action instanceof RequestAction.AnswerError error) {
-            mEndCause = EndCause.of(error.kind());
+            mEndCause = Cause.of(error.kind());
             mAnswer.problem(error.kind(), error.retryAfterMillis(), headers(mMachine.attempt()));
         } else {
             return false;
