Show that a caller who leaves cancels its stream; stop test routers last first

The test routers were stopped first to last, so each put back the overrides of the one before, and the first one's platform.log stayed set as a system property. Ruled out: the settings check itself, which passes alone. Change: test routers stop last first. A new test leaves a stream of 50,000 tokens after 16 bytes: the engine cancels it and the next request is served.

--- a/magnoliapick-router/src/test/java/org/magnoliapick/router/TestFleet.java
+++ b/magnoliapick-router/src/test/java/org/magnoliapick/router/TestFleet.java
@@ -6,6 +6,7 @@
 import io.dropwizard.testing.ConfigOverride;
 import io.dropwizard.testing.DropwizardTestSupport;
 import io.dropwizard.testing.ResourceHelpers;
+import java.io.InputStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -123,6 +124,26 @@
         return send(request);
     }
 
+    /** Reads the first bytes of a stream and closes its connection. */
+    void leaveStream(String url, String body) throws Exception {
+        HttpRequest request =
+                request(url).POST(HttpRequest.BodyPublishers.ofString(body, UTF_8)).build();
+        HttpResponse<InputStream> answer =
+                mClient.send(request, HttpResponse.BodyHandlers.ofInputStream());
+        try (InputStream stream = answer.body()) {
+            stream.readNBytes(16);
+        }
+    }
+
+    /** Waits until the engine has cancelled something; calls of the router pace the loop. */
+    long awaitCancelled(String router) throws Exception {
+        long endNanos = System.nanoTime() + PATIENCE.toNanos();
+        while (mEngine.cancelled() == 0 && System.nanoTime() < endNanos) {
+            get(router + "/health/live");
+        }
+        return mEngine.cancelled();
+    }
+
     private static HttpRequest.Builder request(String url) {
         return HttpRequest.newBuilder(URI.create(url))
                 .timeout(PATIENCE)
@@ -153,7 +174,10 @@
 
     @Override
     public void close() {
-        mRouters.forEach(DropwizardTestSupport::after);
+        // Each router puts back the overrides that it found, so the last one goes first.
+        for (int i = mRouters.size() - 1; i >= 0; i--) {
+            mRouters.get(i).after();
+        }
         mEngine.close();
         mService.close();
         mLog.close();
--- a/magnoliapick-router/src/test/java/org/magnoliapick/router/WholePathTest.java
+++ b/magnoliapick-router/src/test/java/org/magnoliapick/router/WholePathTest.java
@@ -103,6 +103,17 @@
         assertThat(mFleet.mEngine.started()).isZero();
     }
 
+    @Test
+    void aCallerThatGoesAwayCancelsItsStreamAtTheEngine() throws Exception {
+        mFleet.leaveStream(mRouter + "/v1/chat/completions", longStream());
+        assertThat(mFleet.awaitCancelled(mRouter)).isPositive();
+        assertThat(header(chat("nonce=n7", false), OUTCOME)).isEqualTo("whole");
+    }
+
+    private static String longStream() {
+        return body("nonce=n8", true).replace("\"max_tokens\":8", "\"max_tokens\":50000");
+    }
+
     private HttpResponse<String> chat(String text, boolean streamed) throws Exception {
         return mFleet.post(mRouter + "/v1/chat/completions", body(text, streamed));
     }
