--- a/magnoliapick-admin/src/main/java/org/magnoliapick/admin/AdminServices.java
+++ b/magnoliapick-admin/src/main/java/org/magnoliapick/admin/AdminServices.java
@@ -2,7 +2,7 @@
 
 import java.time.InstantSource;
 import java.util.Optional;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.LogService;
 
 /**
  * What the administration API works with.
--- a/magnoliapick-admin/src/main/java/org/magnoliapick/admin/ChangeCommand.java
+++ b/magnoliapick-admin/src/main/java/org/magnoliapick/admin/ChangeCommand.java
@@ -12,8 +12,8 @@
 import org.magnoliapick.config.EntryFault;
 import org.magnoliapick.config.FoldResult;
 import org.magnoliapick.config.RejectedEntry;
-import org.magnoliapick.platform.AppendResult;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.AppendResult;
+import org.magnoliapick.ports.LogService;
 
 /**
  * Changes settings. The change counts as accepted only after this instance has read its own entry
--- a/magnoliapick-admin/src/main/java/org/magnoliapick/admin/ConfigFollower.java
+++ b/magnoliapick-admin/src/main/java/org/magnoliapick/admin/ConfigFollower.java
@@ -19,10 +19,10 @@
 import org.magnoliapick.config.FleetConfig;
 import org.magnoliapick.config.FoldResult;
 import org.magnoliapick.config.RejectedEntry;
-import org.magnoliapick.platform.AppendResult;
-import org.magnoliapick.platform.LogEntry;
-import org.magnoliapick.platform.LogPage;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.AppendResult;
+import org.magnoliapick.ports.LogEntry;
+import org.magnoliapick.ports.LogPage;
+import org.magnoliapick.ports.LogService;
 
 /**
  * Follows the configuration stream of the log. One thread calls {@link #step} over and over; any
--- a/magnoliapick-admin/src/main/java/org/magnoliapick/admin/SnapshotStream.java
+++ b/magnoliapick-admin/src/main/java/org/magnoliapick/admin/SnapshotStream.java
@@ -5,10 +5,10 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.magnoliapick.config.ConfigState;
-import org.magnoliapick.platform.AppendResult;
-import org.magnoliapick.platform.LogEntry;
-import org.magnoliapick.platform.LogPage;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.AppendResult;
+import org.magnoliapick.ports.LogEntry;
+import org.magnoliapick.ports.LogPage;
+import org.magnoliapick.ports.LogService;
 
 /**
  * The log stream of snapshots. Any instance may append one; each is a function of the configuration
--- a/magnoliapick-admin/src/main/java/org/magnoliapick/admin/SummaryReader.java
+++ b/magnoliapick-admin/src/main/java/org/magnoliapick/admin/SummaryReader.java
@@ -8,9 +8,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
-import org.magnoliapick.platform.LogEntry;
-import org.magnoliapick.platform.LogPage;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.LogEntry;
+import org.magnoliapick.ports.LogPage;
+import org.magnoliapick.ports.LogService;
 import org.magnoliapick.record.SummaryBatch;
 import org.magnoliapick.record.SummaryHistory;
 
--- a/magnoliapick-admin/src/main/java/org/magnoliapick/admin/SummaryWriter.java
+++ b/magnoliapick-admin/src/main/java/org/magnoliapick/admin/SummaryWriter.java
@@ -6,8 +6,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import org.magnoliapick.platform.AppendResult;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.AppendResult;
+import org.magnoliapick.ports.LogService;
 import org.magnoliapick.record.SummaryBatch;
 
 /**
--- a/magnoliapick-admin/src/test/java/org/magnoliapick/admin/FakeLogService.java
+++ b/magnoliapick-admin/src/test/java/org/magnoliapick/admin/FakeLogService.java
@@ -6,10 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.magnoliapick.platform.AppendResult;
-import org.magnoliapick.platform.LogEntry;
-import org.magnoliapick.platform.LogPage;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.AppendResult;
+import org.magnoliapick.ports.LogEntry;
+import org.magnoliapick.ports.LogPage;
+import org.magnoliapick.ports.LogService;
 
 /** A log in memory that can be out, lose answers and forget entries. */
 public final class FakeLogService implements LogService {
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Placing.java
@@ -0,0 +1,86 @@
+package org.magnoliapick.pool;
+
+import java.util.Optional;
+import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.relay.Prompt;
+import org.magnoliapick.route.EngineSpec;
+
+/** Weighs one upstream for one request. */
+final class Placing {
+    /**
+     * The most of an engine's slots that are filled from here, so that its own queue stays empty.
+     */
+    private static final double SLOTS_SHARE = 0.95;
+
+    /** The most of an engine's memory that running requests may come to fill. */
+    private static final double MEMORY_SHARE = 0.9;
+
+    /** The part of a request's objective that reading ahead of it and its own may take. */
+    private static final double READING_SHARE = 0.5;
+
+    /** What leaving the own failure domain costs, in milliseconds of waiting. */
+    private static final double OTHER_DOMAIN_MILLIS = 25;
+
+    /** What a share of failed attempts costs, in milliseconds of waiting. */
+    private static final double FAILURE_MILLIS = 400;
+
+    /** Requests beyond its slots that a plain upstream may hold, as a share of the slots. */
+    private static final double PLAIN_QUEUE_SHARE = 0.5;
+
+    /** What each request at a plain upstream costs, in milliseconds of waiting. */
+    private static final double PLAIN_RUNNING_MILLIS = 12;
+
+    private Placing() {}
+
+    static Optional<Choice> engine(
+            PoolJob job,
+            UpstreamLoad load,
+            EngineSpec engine,
+            FailureDomain domain,
+            long nowMillis) {
+        long newTokens = newTokens(job, load);
+        long readingTokens = load.readingTokens(nowMillis);
+        boolean slotsLeft = load.running(nowMillis) < Math.max(1, engine.slots() * SLOTS_SHARE);
+        boolean memoryLeft =
+                load.memoryTokens(nowMillis) == 0
+                        || load.memoryTokens(nowMillis) + memoryTokens(job)
+                                <= engine.memoryTokens() * MEMORY_SHARE;
+        long firstMillis = load.firstEventMillis(newTokens, nowMillis);
+        long readingMillis = (long) (job.request().route().objectiveMillis() * READING_SHARE);
+        boolean soon = readingTokens == 0 || firstMillis <= readingMillis;
+        if (!slotsLeft || !memoryLeft || !soon) {
+            return Optional.empty();
+        }
+        double readMillis = newTokens / load.tokensPerMilli();
+        double cost = firstMillis + readMillis + common(load, domain);
+        return Optional.of(new Choice(load, newTokens, cost));
+    }
+
+    static Optional<Choice> plain(UpstreamLoad load, FailureDomain domain, long nowMillis) {
+        int running = load.running(nowMillis);
+        int slots = load.upstream().slots();
+        if (running >= slots * (1 + PLAIN_QUEUE_SHARE)) {
+            return Optional.empty();
+        }
+        double queued = Math.max(0, running + 1 - slots) * 4.0;
+        double cost = (running + queued) * PLAIN_RUNNING_MILLIS + common(load, domain);
+        return Optional.of(new Choice(load, 0, cost));
+    }
+
+    /** Returns how many tokens of its prompt an upstream would have to read. */
+    static long newTokens(PoolJob job, UpstreamLoad load) {
+        Prompt prompt = job.request().prompt();
+        return load.newTokens(prompt.parts(), prompt.promptTokens());
+    }
+
+    /** Returns how much memory a request may come to fill, in tokens. */
+    static long memoryTokens(PoolJob job) {
+        Prompt prompt = job.request().prompt();
+        return prompt.promptTokens() + prompt.maxOutputTokens();
+    }
+
+    private static double common(UpstreamLoad load, FailureDomain domain) {
+        double other = load.upstream().domain().equals(domain) ? 0 : OTHER_DOMAIN_MILLIS;
+        return other + FAILURE_MILLIS * load.health().failureShare();
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -0,0 +1,219 @@
+package org.magnoliapick.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliapick.errors.ErrorKind;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.request.AttemptEnd;
+import org.magnoliapick.route.EngineSpec;
+import org.magnoliapick.route.ServiceSpec;
+
+/**
+ * Decides for the requests of one service which goes to which upstream, which waits and which is
+ * refused. Order is kept here because engines take requests as they come: little is sent ahead, the
+ * least served workspace goes first, and what cannot be on time is refused while its caller can
+ * still use the answer.
+ */
+public final class PoolScheduler {
+    /** The part of its objective that a request may wait before it is refused as too late. */
+    private static final double FREE_WAIT_SHARE = 0.125;
+
+    private final PoolSettings mSettings;
+    private final ServedWindow mServed;
+    private final Map<UpstreamId, UpstreamLoad> mLoads = new HashMap<>();
+    private final WaitingJobs mWaiting = new WaitingJobs();
+    private ServiceSpec mService;
+
+    /** Creates a pool without upstreams. */
+    public PoolScheduler(ServiceSpec service, PoolSettings settings) {
+        mService = service;
+        mSettings = settings;
+        mServed = new ServedWindow(settings.shareWindowMillis());
+    }
+
+    /** Takes over what the operator says of the service now. */
+    public void configure(ServiceSpec service) {
+        mService = service;
+    }
+
+    /** Takes over the upstreams that may get new work. */
+    public void listed(List<ListedUpstream> upstreams) {
+        Map<UpstreamId, ListedUpstream> byId = new HashMap<>();
+        upstreams.forEach(each -> byId.put(each.id(), each));
+        mLoads.keySet().retainAll(byId.keySet());
+        byId.values().forEach(this::listed);
+    }
+
+    private void listed(ListedUpstream upstream) {
+        UpstreamLoad load = mLoads.get(upstream.id());
+        if (load == null) {
+            mLoads.put(upstream.id(), new UpstreamLoad(upstream, mService.engine()));
+        } else {
+            load.listed(upstream);
+        }
+    }
+
+    /** Takes what another instance told of its use. */
+    public void peer(InstanceUse use, long nowMillis) {
+        for (UpstreamUse each : use.uses()) {
+            UpstreamLoad load = mLoads.get(each.upstream());
+            if (load != null) {
+                load.peer(use.instance(), each, nowMillis);
+            }
+        }
+        mServed.peer(use.instance(), use.servedTokens(), nowMillis);
+    }
+
+    /** Returns this instance's own use, to tell the others. */
+    public InstanceUse own(org.magnoliapick.lib.InstanceId instance, long nowMillis) {
+        List<UpstreamUse> uses = new ArrayList<>();
+        for (UpstreamLoad load : mLoads.values()) {
+            uses.add(load.own());
+        }
+        return new InstanceUse(instance, uses, mServed.own(nowMillis));
+    }
+
+    /** Takes a request; returns what is decided now, about it and about others. */
+    public List<PoolAction> submit(PoolJob job, long nowMillis) {
+        if (mWaiting.size() >= mSettings.maxWaiting()) {
+            return List.of(refuse(job, ErrorKind.WORKSPACE_QUEUE_FULL, PoolCause.QUEUE_FULL));
+        }
+        mWaiting.add(job);
+        return tick(nowMillis);
+    }
+
+    /** Drops a waiting request whose caller left or whose time is over. */
+    public void withdraw(PoolJob job) {
+        mWaiting.remove(job);
+    }
+
+    /** Returns how many requests wait. */
+    public int waiting() {
+        return mWaiting.size();
+    }
+
+    /** Notes the first event or the head of an answer. */
+    public void answering(Ticket ticket, long nowMillis) {
+        load(ticket).ifPresent(load -> load.firstEvent(ticket, nowMillis));
+    }
+
+    /** Notes the end of an attempt; an absent end stands for a whole answer. */
+    public List<PoolAction> ended(Ticket ticket, Optional<AttemptEnd> end, long nowMillis) {
+        if (!ticket.close()) {
+            return List.of();
+        }
+        load(ticket)
+                .ifPresent(
+                        load -> {
+                            load.ended(ticket);
+                            note(load.health(), end, nowMillis);
+                        });
+        return tick(nowMillis);
+    }
+
+    private static void note(UpstreamHealth health, Optional<AttemptEnd> end, long nowMillis) {
+        if (end.isEmpty()) {
+            health.succeeded();
+            return;
+        }
+        switch (end.orElseThrow()) {
+            case NOT_SENT, LOST_BEFORE_HEAD, TIMEOUT, REFUSED -> health.lost(nowMillis);
+            case CUT, CROSSED, MALFORMED, FAILED -> health.failed();
+            case CANCELLED -> {}
+            default -> throw new IllegalStateException("No rule for " + end);
+        }
+    }
+
+    /** Starts what has room and refuses what will be too late. */
+    public List<PoolAction> tick(long nowMillis) {
+        List<PoolAction> actions = new ArrayList<>();
+        boolean room = true;
+        Iterator<PoolJob> order = mWaiting.order(mServed, nowMillis).iterator();
+        while (order.hasNext()) {
+            PoolJob job = order.next();
+            Optional<PoolAction> action = room ? place(job, nowMillis) : Optional.empty();
+            room &= action.isPresent();
+            action.or(() -> refuseLate(job, nowMillis))
+                    .ifPresent(
+                            each -> {
+                                mWaiting.remove(job);
+                                actions.add(each);
+                            });
+        }
+        return actions;
+    }
+
+    private Optional<PoolAction> place(PoolJob job, long nowMillis) {
+        Choice best = null;
+        for (UpstreamLoad load : mLoads.values()) {
+            Optional<Choice> choice = choice(job, load, nowMillis);
+            if (choice.isPresent() && (best == null || choice.get().cost() < best.cost())) {
+                best = choice.get();
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(start(job, best, nowMillis));
+    }
+
+    private Optional<Choice> choice(PoolJob job, UpstreamLoad load, long nowMillis) {
+        boolean excluded =
+                job.excluded().contains(load.upstream().id())
+                        && job.excluded().size() < mLoads.size();
+        if (excluded || !load.health().takesWork(nowMillis)) {
+            return Optional.empty();
+        }
+        return mService.engine().isPresent()
+                ? Placing.engine(job, load, mService.engine().get(), mSettings.domain(), nowMillis)
+                : Placing.plain(load, mSettings.domain(), nowMillis);
+    }
+
+    private PoolAction start(PoolJob job, Choice choice, long nowMillis) {
+        UpstreamLoad load = choice.load();
+        Optional<EngineSpec> engine = mService.engine();
+        long memoryTokens = engine.isPresent() ? Placing.memoryTokens(job) : 0;
+        Ticket ticket =
+                new Ticket(
+                        load.upstream(),
+                        job.account(),
+                        choice.newTokens(),
+                        memoryTokens,
+                        load.readingTokens(nowMillis),
+                        nowMillis);
+        load.started(ticket, job.request().prompt().parts());
+        mServed.served(job.account(), job.request().prompt().shareTokens(), nowMillis);
+        PoolCause cause =
+                job.submittedMillis() == nowMillis ? PoolCause.ROOM : PoolCause.ROOM_AFTER_WAIT;
+        return new PoolAction.Start(job, ticket, cause);
+    }
+
+    private Optional<PoolAction> refuseLate(PoolJob job, long nowMillis) {
+        long freeWait = (long) (job.request().route().objectiveMillis() * FREE_WAIT_SHARE);
+        if (job.underWay() || nowMillis - job.submittedMillis() < freeWait) {
+            return Optional.empty();
+        }
+        if (mLoads.isEmpty()) {
+            return Optional.of(refuse(job, ErrorKind.NO_UPSTREAM, PoolCause.NO_UPSTREAM));
+        }
+        long firstMillis = Long.MAX_VALUE;
+        for (UpstreamLoad load : mLoads.values()) {
+            long newTokens = Placing.newTokens(job, load);
+            firstMillis = Math.min(firstMillis, load.firstEventMillis(newTokens, nowMillis));
+        }
+        return nowMillis + firstMillis > job.request().onTimeMillis()
+                ? Optional.of(refuse(job, ErrorKind.WORKSPACE_QUEUE_FULL, PoolCause.TOO_LATE))
+                : Optional.empty();
+    }
+
+    private PoolAction refuse(PoolJob job, ErrorKind kind, PoolCause cause) {
+        long waitMillis = Math.max(200, job.request().route().objectiveMillis());
+        return new PoolAction.Refuse(job, kind, waitMillis, cause);
+    }
+
+    private Optional<UpstreamLoad> load(Ticket ticket) {
+        return Optional.ofNullable(mLoads.get(ticket.upstream().id()))
+                .filter(load -> load.upstream().sameLife(ticket.upstream()));
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServedWindow.java
@@ -0,0 +1,62 @@
+package org.magnoliapick.pool;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.WorkspaceId;
+
+/** What each workspace was served of late, over all instances: decays over the share window. */
+final class ServedWindow {
+    /** How long what another instance told counts, in milliseconds. */
+    private static final long PEER_MILLIS = 2_000;
+
+    private final double mWindowMillis;
+    private final Map<WorkspaceId, Double> mOwn = new HashMap<>();
+    private final Map<InstanceId, PeerServed> mPeers = new HashMap<>();
+    private long mDecayedMillis;
+
+    ServedWindow(long windowMillis) {
+        mWindowMillis = windowMillis;
+    }
+
+    void served(WorkspaceId workspace, long tokens, long nowMillis) {
+        decay(nowMillis);
+        mOwn.merge(workspace, (double) tokens, Double::sum);
+    }
+
+    void peer(InstanceId instance, Map<WorkspaceId, Long> served, long nowMillis) {
+        mPeers.put(instance, new PeerServed(served, nowMillis));
+    }
+
+    /** Returns the tokens that a workspace was served over the fleet. */
+    double of(WorkspaceId workspace, long nowMillis) {
+        decay(nowMillis);
+        double tokens = mOwn.getOrDefault(workspace, 0.0);
+        for (PeerServed peer : mPeers.values()) {
+            if (nowMillis - peer.atMillis() <= PEER_MILLIS) {
+                tokens += peer.served().getOrDefault(workspace, 0L);
+            }
+        }
+        return tokens;
+    }
+
+    Map<WorkspaceId, Long> own(long nowMillis) {
+        decay(nowMillis);
+        Map<WorkspaceId, Long> own = new HashMap<>();
+        mOwn.forEach((workspace, tokens) -> own.put(workspace, Math.round(tokens)));
+        return own;
+    }
+
+    private void decay(long nowMillis) {
+        long elapsedMillis = nowMillis - mDecayedMillis;
+        if (elapsedMillis <= 0) {
+            return;
+        }
+        double kept = Math.exp(-elapsedMillis / mWindowMillis);
+        mOwn.replaceAll((workspace, tokens) -> tokens * kept);
+        mOwn.values().removeIf(tokens -> tokens < 1);
+        mDecayedMillis = nowMillis;
+    }
+
+    private record PeerServed(Map<WorkspaceId, Long> served, long atMillis) {}
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamHealth.java
@@ -0,0 +1,50 @@
+package org.magnoliapick.pool;
+
+/**
+ * Keeps work from an upstream that fails: each failure in a row doubles the time for which it gets
+ * nothing, and one success ends that.
+ */
+final class UpstreamHealth {
+    /** The first time without work after a lost connection, in milliseconds. */
+    private static final long FIRST_PAUSE_MILLIS = 250;
+
+    /** The longest time without work, in milliseconds. */
+    private static final long LONGEST_PAUSE_MILLIS = 2_000;
+
+    /** The weight of one attempt in the share of attempts that failed. */
+    private static final double FAILURE_WEIGHT = 0.1;
+
+    private int mLostInRow;
+    private long mPausedUntilMillis;
+    private double mFailureShare;
+
+    /** Notes that the upstream could not be reached or broke the connection. */
+    void lost(long nowMillis) {
+        mLostInRow++;
+        long pause = FIRST_PAUSE_MILLIS << Math.min(8, mLostInRow - 1);
+        mPausedUntilMillis = nowMillis + Math.min(LONGEST_PAUSE_MILLIS, pause);
+        failed();
+    }
+
+    /** Notes a failure that the upstream itself reported, or an answer that it spoiled. */
+    void failed() {
+        mFailureShare += FAILURE_WEIGHT * (1 - mFailureShare);
+    }
+
+    /** Notes a whole answer. */
+    void succeeded() {
+        mLostInRow = 0;
+        mPausedUntilMillis = 0;
+        mFailureShare -= FAILURE_WEIGHT * mFailureShare;
+    }
+
+    /** Returns whether the upstream gets work now. */
+    boolean takesWork(long nowMillis) {
+        return nowMillis >= mPausedUntilMillis;
+    }
+
+    /** Returns the share of recent attempts that failed, from 0 to 1. */
+    double failureShare() {
+        return mFailureShare;
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -0,0 +1,151 @@
+package org.magnoliapick.pool;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.relay.PromptPart;
+import org.magnoliapick.route.EngineSpec;
+
+/** What this instance knows of the load of one upstream: its own use and that of the others. */
+final class UpstreamLoad {
+    /** How long what another instance told of its use counts, in milliseconds. */
+    private static final long PEER_USE_MILLIS = 1_500;
+
+    /** Prompt tokens that an engine reads in a millisecond, until it has been seen reading. */
+    private static final double INITIAL_TOKENS_PER_MILLI = 60;
+
+    private static final double LEAST_TOKENS_PER_MILLI = 5;
+    private static final double MOST_TOKENS_PER_MILLI = 120;
+
+    /** Tokens below which the time of a first event says little of the reading speed. */
+    private static final long TELLING_TOKENS = 3_000;
+
+    /** The time of a first event that is not reading, in milliseconds: network and one step. */
+    private static final long FIRST_EVENT_BASE_MILLIS = 12;
+
+    /** The weight of one observation in the reading speed. */
+    private static final double SPEED_WEIGHT = 0.15;
+
+    private final UpstreamHealth mHealth = new UpstreamHealth();
+    private final Map<InstanceId, PeerUse> mPeers = new HashMap<>();
+    private final Optional<CacheBelief> mCache;
+    private ListedUpstream mUpstream;
+    private int mRunning;
+    private long mReadingTokens;
+    private long mMemoryTokens;
+    private double mTokensPerMilli = INITIAL_TOKENS_PER_MILLI;
+
+    UpstreamLoad(ListedUpstream upstream, Optional<EngineSpec> engine) {
+        mUpstream = upstream;
+        mCache = engine.map(spec -> new CacheBelief(spec.memoryTokens()));
+    }
+
+    ListedUpstream upstream() {
+        return mUpstream;
+    }
+
+    UpstreamHealth health() {
+        return mHealth;
+    }
+
+    void listed(ListedUpstream upstream) {
+        if (!upstream.sameLife(mUpstream)) {
+            mCache.ifPresent(CacheBelief::clear);
+        }
+        mUpstream = upstream;
+    }
+
+    long newTokens(List<PromptPart> parts, int promptTokens) {
+        long kept = mCache.map(cache -> cache.keptTokens(parts)).orElse(0L);
+        return Math.max(0, promptTokens - kept);
+    }
+
+    void started(Ticket ticket, List<PromptPart> parts) {
+        mRunning++;
+        mReadingTokens += ticket.newTokens();
+        mMemoryTokens += ticket.memoryTokens();
+        mCache.ifPresent(cache -> cache.sent(parts));
+    }
+
+    void firstEvent(Ticket ticket, long nowMillis) {
+        if (!ticket.reading()) {
+            return;
+        }
+        ticket.readingDone();
+        mReadingTokens -= ticket.newTokens();
+        long tokens = ticket.newTokens() + ticket.aheadTokens();
+        long tookMillis = nowMillis - ticket.startedMillis() - FIRST_EVENT_BASE_MILLIS;
+        if (tokens >= TELLING_TOKENS && tookMillis > 0) {
+            double seen = (double) tokens / tookMillis;
+            double bounded =
+                    Math.max(LEAST_TOKENS_PER_MILLI, Math.min(MOST_TOKENS_PER_MILLI, seen));
+            mTokensPerMilli += SPEED_WEIGHT * (bounded - mTokensPerMilli);
+        }
+    }
+
+    void ended(Ticket ticket) {
+        mRunning--;
+        mMemoryTokens -= ticket.memoryTokens();
+        if (ticket.reading()) {
+            ticket.readingDone();
+            mReadingTokens -= ticket.newTokens();
+        }
+    }
+
+    void peer(InstanceId instance, UpstreamUse use, long nowMillis) {
+        mPeers.put(instance, new PeerUse(use, nowMillis));
+    }
+
+    int running(long nowMillis) {
+        int running = mRunning;
+        for (PeerUse peer : peers(nowMillis)) {
+            running += peer.use().running();
+        }
+        return running;
+    }
+
+    long readingTokens(long nowMillis) {
+        long tokens = mReadingTokens;
+        for (PeerUse peer : peers(nowMillis)) {
+            tokens += peer.use().readingTokens();
+        }
+        return tokens;
+    }
+
+    long memoryTokens(long nowMillis) {
+        long tokens = mMemoryTokens;
+        for (PeerUse peer : peers(nowMillis)) {
+            tokens += peer.use().memoryTokens();
+        }
+        return tokens;
+    }
+
+    /** Returns the expected time to the first event of a prompt sent now, in milliseconds. */
+    long firstEventMillis(long newTokens, long nowMillis) {
+        double reading = (readingTokens(nowMillis) + newTokens) / mTokensPerMilli;
+        return FIRST_EVENT_BASE_MILLIS + (long) reading;
+    }
+
+    double tokensPerMilli() {
+        return mTokensPerMilli;
+    }
+
+    UpstreamUse own() {
+        return new UpstreamUse(mUpstream.id(), mRunning, mReadingTokens, mMemoryTokens);
+    }
+
+    private Iterable<PeerUse> peers(long nowMillis) {
+        Iterator<PeerUse> peers = mPeers.values().iterator();
+        while (peers.hasNext()) {
+            if (nowMillis - peers.next().atMillis() > PEER_USE_MILLIS) {
+                peers.remove();
+            }
+        }
+        return mPeers.values();
+    }
+
+    private record PeerUse(UpstreamUse use, long atMillis) {}
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamUse.java
@@ -0,0 +1,14 @@
+package org.magnoliapick.pool;
+
+import org.magnoliapick.lib.UpstreamId;
+
+/**
+ * What one instance has at an upstream.
+ *
+ * @param upstream the upstream
+ * @param running requests under way
+ * @param readingTokens prompt tokens that are sent and not yet answered with a first event
+ * @param memoryTokens tokens of memory that its requests may fill
+ */
+public record UpstreamUse(
+        UpstreamId upstream, int running, long readingTokens, long memoryTokens) {}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
@@ -0,0 +1,44 @@
+package org.magnoliapick.pool;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.magnoliapick.lib.WorkspaceId;
+
+/** The requests of a pool that wait at this instance, and the order in which they go. */
+final class WaitingJobs {
+    private final List<PoolJob> mJobs = new ArrayList<>();
+
+    void add(PoolJob job) {
+        mJobs.add(job);
+    }
+
+    void remove(PoolJob job) {
+        mJobs.removeIf(each -> each == job);
+    }
+
+    int size() {
+        return mJobs.size();
+    }
+
+    /** Returns all in order: what is under way, then by rank, the least served workspace first. */
+    List<PoolJob> order(ServedWindow served, long nowMillis) {
+        List<PoolJob> order = new ArrayList<>(mJobs);
+        if (order.size() > 1) {
+            Map<WorkspaceId, Double> tokens = new HashMap<>();
+            order.forEach(
+                    job ->
+                            tokens.computeIfAbsent(
+                                    job.account(), each -> served.of(each, nowMillis)));
+            order.sort(
+                    Comparator.comparing(PoolJob::underWay)
+                            .reversed()
+                            .thenComparing(PoolJob::rank)
+                            .thenComparing(job -> tokens.get(job.account()))
+                            .thenComparing(PoolJob::submittedMillis));
+        }
+        return order;
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/PromptPart.java
@@ -0,0 +1,9 @@
+package org.magnoliapick.relay;
+
+/**
+ * A part of a prompt that other prompts may share.
+ *
+ * @param id names the part's content
+ * @param tokens its length in tokens
+ */
+public record PromptPart(String id, int tokens) {}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
@@ -0,0 +1,49 @@
+package org.magnoliapick.gateway;
+
+import java.util.List;
+import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.lib.InstanceId;
+
+/**
+ * The settings of a gateway process.
+ *
+ * @param instance its name
+ * @param domain its failure domain
+ * @param callers where callers connect
+ * @param readiness where the balancer asks whether it takes callers
+ * @param readinessPath the path of that question
+ * @param control where operators read metrics
+ * @param peers where it talks with other instances
+ * @param seeds some other instances, to find the rest
+ * @param store where configuration and list of upstreams are read
+ * @param budget how often requests may be repeated
+ * @param shareWindowMillis the span over which workspaces are compared
+ * @param stopMillis how long a planned stop may take
+ */
+public record GatewaySettings(
+        InstanceId instance,
+        FailureDomain domain,
+        AddressPort callers,
+        AddressPort readiness,
+        String readinessPath,
+        AddressPort control,
+        AddressPort peers,
+        List<AddressPort> seeds,
+        AddressPort store,
+        Budget budget,
+        long shareWindowMillis,
+        long stopMillis) {
+    /** Copies the list of seeds. */
+    public GatewaySettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /**
+     * How often requests may reach upstreams once more, over the whole fleet.
+     *
+     * @param ratio repeats for each request
+     * @param slack repeats beyond that
+     * @param windowMillis the span in which they count
+     */
+    public record Budget(double ratio, double slack, long windowMillis) {}
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/StoreCall.java
@@ -0,0 +1,12 @@
+package org.magnoliapick.gateway;
+
+import io.netty.handler.codec.http.HttpRequest;
+
+/** A call to the store: what is sent, and how the answer is read. */
+public interface StoreCall {
+    /** Returns the request, without a host. */
+    HttpRequest request();
+
+    /** Reads the answer. */
+    StoreAnswer read(int status, byte[] body);
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/StoreTopic.java
@@ -0,0 +1,9 @@
+package org.magnoliapick.gateway;
+
+/** The topics of the store that the gateway follows. */
+public enum StoreTopic {
+    /** The operator's configuration. */
+    CONFIG,
+    /** The list of upstreams. */
+    UPSTREAMS
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -0,0 +1,209 @@
+package org.magnoliapick.gateway.internal;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.magnoliapick.gateway.Dialect;
+import org.magnoliapick.gateway.GatewaySettings;
+import org.magnoliapick.gateway.internal.caller.CallerServer;
+import org.magnoliapick.gateway.internal.http.Connector;
+import org.magnoliapick.gateway.internal.http.ControlServer;
+import org.magnoliapick.gateway.internal.http.HttpCalls;
+import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.gateway.internal.relay.Pools;
+import org.magnoliapick.gateway.internal.relay.RelayContext;
+import org.magnoliapick.gateway.internal.relay.Relays;
+import org.magnoliapick.gateway.internal.store.ConfigSource;
+import org.magnoliapick.gateway.internal.store.StoreFollower;
+import org.magnoliapick.gateway.internal.store.UpstreamSource;
+import org.magnoliapick.pool.PoolSettings;
+import org.magnoliapick.pool.UpstreamDirectory;
+import org.magnoliapick.relay.FleetRetryBudget;
+import org.magnoliapick.route.TrafficConfig;
+
+/** A gateway process: one event loop that reads, decides and writes. */
+public final class Gateway {
+    /** Requests that may wait for an upstream at one instance. */
+    private static final int MAX_WAITING = 512;
+
+    /** Among how many instances the fleet's retry slack is divided. */
+    private static final int BUDGET_INSTANCES = 12;
+
+    /** How often waiting requests are looked at, in milliseconds. */
+    private static final long POOL_TICK_MILLIS = 10;
+
+    /** How often silent streams and idle connections are looked for, in milliseconds. */
+    private static final long SWEEP_MILLIS = 200;
+
+    /** How long a stopping instance still takes callers: the balancer asks twice. */
+    private static final long LEAVE_MILLIS = 3_000;
+
+    /** How long before its end a planned stop closes what is left, in milliseconds. */
+    private static final long STOP_MARGIN_MILLIS = 300;
+
+    private final GatewaySettings mSettings;
+    private final EventLog mLog;
+    private final LongSupplier mClockMillis;
+    private final NioEventLoopGroup mGroup = new NioEventLoopGroup(1);
+    private final EventLoop mLoop = mGroup.next();
+    private final RelayContext mContext;
+    private final Relays mRelays;
+    private final Pools mPools;
+    private final UpstreamDirectory mDirectory = new UpstreamDirectory();
+    private final CallerServer mCallers;
+    private final Connector mConnector = new Connector(mGroup);
+    private final Dialect mDialect;
+    private final CountDownLatch mStopped = new CountDownLatch(1);
+    private boolean mStopping;
+    private long mStopDeadlineMillis;
+
+    /** Creates a gateway that is not started. */
+    public Gateway(
+            GatewaySettings settings, Dialect dialect, EventLog log, LongSupplier clockMillis) {
+        mSettings = settings;
+        mDialect = dialect;
+        mLog = log;
+        mClockMillis = clockMillis;
+        GatewaySettings.Budget budget = settings.budget();
+        mContext =
+                new RelayContext(
+                        mLoop,
+                        clockMillis,
+                        dialect,
+                        new FleetRetryBudget(
+                                budget.ratio(),
+                                budget.slack(),
+                                budget.windowMillis(),
+                                BUDGET_INSTANCES),
+                        log);
+        mRelays = new Relays(mContext);
+        mPools =
+                new Pools(
+                        mConnector,
+                        new PoolSettings(
+                                settings.domain(), settings.shareWindowMillis(), MAX_WAITING),
+                        mDirectory,
+                        mRelays::carryOut);
+        mRelays.pools(mPools);
+        mCallers = new CallerServer(mGroup, mRelays, log, clockMillis);
+    }
+
+    /**
+     * Starts everything.
+     *
+     * @throws InterruptedException if interrupted before the addresses were bound
+     */
+    public void start() throws InterruptedException {
+        mCallers.listen(mSettings.callers());
+        new ControlServer(mGroup, Map.of(mSettings.readinessPath(), this::readiness))
+                .listen(mSettings.readiness());
+        new ControlServer(mGroup, Map.of("/metrics", this::metrics)).listen(mSettings.control());
+        mLoop.execute(this::follow);
+        mLoop.scheduleWithFixedDelay(
+                this::poolTick, POOL_TICK_MILLIS, POOL_TICK_MILLIS, TimeUnit.MILLISECONDS);
+        mLoop.scheduleWithFixedDelay(
+                this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        mLog.line("instance.started")
+                .with("instance", mSettings.instance())
+                .with("domain", mSettings.domain())
+                .log();
+    }
+
+    private void follow() {
+        ConfigSource config = new ConfigSource(mDialect, mLog, this::configured);
+        follower(config).start();
+        UpstreamSource upstreams =
+                new UpstreamSource(
+                        mDialect,
+                        mLog,
+                        mDirectory,
+                        mClockMillis,
+                        () -> mPools.listed(mClockMillis.getAsLong()));
+        follower(upstreams).start();
+    }
+
+    private StoreFollower follower(StoreFollower.StoreSource source) {
+        HttpCalls calls = new HttpCalls(mLoop, mConnector, mSettings.store(), mClockMillis);
+        return new StoreFollower(mLoop, calls, source, mLog);
+    }
+
+    private void configured(TrafficConfig config) {
+        mContext.configured(config);
+        mPools.configured(config);
+        mCallers.limits(config.limits());
+    }
+
+    private ControlServer.Page readiness() {
+        boolean ready = !mStopping && mContext.config().isPresent();
+        return new ControlServer.Page(ready, ready ? "ready\n" : "not ready\n");
+    }
+
+    private ControlServer.Page metrics() {
+        StringBuilder text = new StringBuilder();
+        mContext.counters().write(text);
+        return new ControlServer.Page(true, text.toString());
+    }
+
+    private void poolTick() {
+        guarded(
+                "pool.tick",
+                () -> {
+                    if (mPools.waiting() > 0) {
+                        mPools.tick(mClockMillis.getAsLong());
+                    }
+                });
+    }
+
+    private void sweep() {
+        guarded(
+                "sweep",
+                () -> {
+                    long nowMillis = mClockMillis.getAsLong();
+                    if (mDirectory.settle(nowMillis)) {
+                        mPools.listed(nowMillis);
+                    }
+                    mRelays.tick(nowMillis);
+                    mPools.sweep(nowMillis);
+                    mCallers.sweep(nowMillis);
+                    stopStep(nowMillis);
+                });
+    }
+
+    /** Runs a repeated step; a fault in one run is logged and does not end the others. */
+    private void guarded(String name, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            mLog.line("step.fault").with("step", name).with("fault", e).log();
+        }
+    }
+
+    /** Stops gracefully; returns once nothing is under way or the time for it is over. */
+    public void stop() throws InterruptedException {
+        mLoop.execute(
+                () -> {
+                    mStopping = true;
+                    mStopDeadlineMillis = mClockMillis.getAsLong() + mSettings.stopMillis();
+                    mLog.line("instance.stopping").with("underWay", mRelays.underWay()).log();
+                });
+        mStopped.await(mSettings.stopMillis(), TimeUnit.MILLISECONDS);
+        mLog.line("instance.stopped").with("underWay", mRelays.underWay()).log();
+    }
+
+    private void stopStep(long nowMillis) {
+        if (!mStopping) {
+            return;
+        }
+        long leftMillis = mStopDeadlineMillis - nowMillis;
+        if (mSettings.stopMillis() - leftMillis > LEAVE_MILLIS) {
+            mCallers.closeGradually();
+        }
+        boolean idle = mCallers.closing() && mCallers.connections() == 0;
+        if (idle || leftMillis < STOP_MARGIN_MILLIS) {
+            mStopped.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
@@ -0,0 +1,140 @@
+package org.magnoliapick.gateway.internal;
+
+import java.io.IOException;
+import java.io.Reader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.magnoliapick.gateway.AddressPort;
+import org.magnoliapick.gateway.GatewaySettings;
+import org.magnoliapick.gateway.SettingsException;
+import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.lib.InstanceId;
+import org.yaml.snakeyaml.LoaderOptions;
+import org.yaml.snakeyaml.Yaml;
+import org.yaml.snakeyaml.constructor.SafeConstructor;
+import org.yaml.snakeyaml.error.YAMLException;
+
+/** Reads and checks the YAML settings of a gateway. */
+public final class SettingsReader {
+    private final Map<?, ?> mRoot;
+    private final TreeSet<String> mUnread = new TreeSet<>();
+
+    private SettingsReader(Map<?, ?> root) {
+        mRoot = root;
+        collect("", root);
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws SettingsException if it cannot be read or a key is missing, unknown or wrong
+     */
+    public static GatewaySettings read(Path file) throws SettingsException {
+        Object root;
+        try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
+            root = new Yaml(new SafeConstructor(new LoaderOptions())).load(reader);
+        } catch (IOException e) {
+            throw new SettingsException(file + ": cannot be read: " + e.getMessage());
+        } catch (YAMLException e) {
+            throw new SettingsException(file + ": is not YAML: " + e.getMessage());
+        }
+        if (!(root instanceof Map<?, ?> map)) {
+            throw new SettingsException(file + ": expected keys and values");
+        }
+        try {
+            return new SettingsReader(map).settings();
+        } catch (IllegalArgumentException e) {
+            throw new SettingsException(file + ": " + e.getMessage());
+        }
+    }
+
+    private GatewaySettings settings() {
+        GatewaySettings settings =
+                new GatewaySettings(
+                        new InstanceId(text("instance")),
+                        new FailureDomain(text("domain")),
+                        address("callers.address"),
+                        address("readiness.address"),
+                        text("readiness.path"),
+                        address("control.address"),
+                        address("peers.address"),
+                        addresses("peers.seeds"),
+                        address("store.address"),
+                        new GatewaySettings.Budget(
+                                positive("retries.ratio"),
+                                positive("retries.slack"),
+                                millis("retries.windowSeconds")),
+                        millis("sharing.windowSeconds"),
+                        millis("stop.graceSeconds"));
+        if (!mUnread.isEmpty()) {
+            throw new IllegalArgumentException("unknown key " + mUnread.first());
+        }
+        return settings;
+    }
+
+    private void collect(String prefix, Map<?, ?> map) {
+        map.forEach(
+                (key, value) -> {
+                    String path = prefix + key;
+                    if (value instanceof Map<?, ?> inner) {
+                        collect(path + '.', inner);
+                    } else {
+                        mUnread.add(path);
+                    }
+                });
+    }
+
+    private Object value(String path) {
+        Object value = mRoot;
+        for (String key : path.split("\\.")) {
+            value = value instanceof Map<?, ?> map ? map.get(key) : null;
+        }
+        mUnread.remove(path);
+        if (value == null) {
+            throw new IllegalArgumentException(path + " is missing");
+        }
+        return value;
+    }
+
+    private String text(String path) {
+        return value(path).toString();
+    }
+
+    private double positive(String path) {
+        Object value = value(path);
+        if (value instanceof Number number && number.doubleValue() >= 0) {
+            return number.doubleValue();
+        }
+        throw new IllegalArgumentException(path + ": expected a number of 0 or more");
+    }
+
+    private long millis(String path) {
+        return Math.round(positive(path) * 1_000);
+    }
+
+    private AddressPort address(String path) {
+        return parse(path, value(path));
+    }
+
+    private List<AddressPort> addresses(String path) {
+        if (!(value(path) instanceof List<?> items)) {
+            throw new IllegalArgumentException(path + ": expected a list");
+        }
+        List<AddressPort> addresses = new ArrayList<>();
+        items.forEach(each -> addresses.add(parse(path, each)));
+        return addresses;
+    }
+
+    private static AddressPort parse(String path, Object value) {
+        try {
+            return AddressPort.parse(value.toString());
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(path + ": " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
@@ -0,0 +1,134 @@
+package org.magnoliapick.gateway.internal.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.magnoliapick.gateway.AddressPort;
+import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.gateway.internal.relay.Relays;
+import org.magnoliapick.route.CallerLimits;
+
+/** Listens for callers. */
+public final class CallerServer {
+    /** Connections that may wait to be accepted. */
+    private static final int BACKLOG = 1_024;
+
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_PIECE_BYTES = 65_536;
+
+    private final EventLoopGroup mLoop;
+    private final Relays mRelays;
+    private final EventLog mLog;
+    private final LongSupplier mClockMillis;
+    private final Set<CallerConnection> mConnections = new HashSet<>();
+    private CallerLimits mLimits = CallerLimits.INITIAL;
+    private Channel mChannel;
+    private boolean mClosing;
+
+    /** Creates a server that does not listen yet. */
+    public CallerServer(
+            EventLoopGroup loop, Relays relays, EventLog log, LongSupplier clockMillis) {
+        mLoop = loop;
+        mRelays = relays;
+        mLog = log;
+        mClockMillis = clockMillis;
+    }
+
+    /**
+     * Listens.
+     *
+     * @throws InterruptedException if interrupted before the address was bound
+     */
+    public void listen(AddressPort address) throws InterruptedException {
+        mChannel =
+                new ServerBootstrap()
+                        .group(mLoop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline()
+                                                .addLast(
+                                                        new HttpRequestDecoder(
+                                                                MAX_LINE_BYTES,
+                                                                mLimits.maxHeaderBytes(),
+                                                                MAX_PIECE_BYTES),
+                                                        new HttpResponseEncoder(),
+                                                        new CallerConnection(CallerServer.this));
+                                    }
+                                })
+                        .bind(address.socketAddress())
+                        .sync()
+                        .channel();
+    }
+
+    /** Sets what callers may send from now on. */
+    public void limits(CallerLimits limits) {
+        mLimits = limits;
+    }
+
+    /** Ends connections after their current answer, and idle ones at the next sweep. */
+    public void closeGradually() {
+        mClosing = true;
+    }
+
+    /** Stops listening. */
+    public void stopListening() {
+        if (mChannel != null) {
+            mChannel.close();
+        }
+    }
+
+    /** Closes connections whose idle time is over. */
+    public void sweep(long nowMillis) {
+        List.copyOf(mConnections).forEach(each -> each.sweep(nowMillis));
+    }
+
+    /** Returns how many callers are connected. */
+    public int connections() {
+        return mConnections.size();
+    }
+
+    CallerLimits limits() {
+        return mLimits;
+    }
+
+    /** Returns whether connections are being closed. */
+    public boolean closing() {
+        return mClosing;
+    }
+
+    Relays relays() {
+        return mRelays;
+    }
+
+    EventLog log() {
+        return mLog;
+    }
+
+    long nowMillis() {
+        return mClockMillis.getAsLong();
+    }
+
+    void opened(CallerConnection connection) {
+        mConnections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        mConnections.remove(connection);
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/Connector.java
@@ -0,0 +1,66 @@
+package org.magnoliapick.gateway.internal.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.magnoliapick.gateway.AddressPort;
+
+/** Opens connections to servers. */
+public final class Connector {
+    private final EventLoopGroup mLoop;
+
+    /** Creates a connector on an event loop. */
+    public Connector(EventLoopGroup loop) {
+        mLoop = loop;
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param timeoutMillis how long opening may take
+     * @param opened gets the connection once it stands
+     * @param failed runs if it could not be opened
+     */
+    public void open(
+            AddressPort address,
+            int timeoutMillis,
+            Consumer<HttpConnection> opened,
+            Runnable failed) {
+        AnswerDecoder decoder = new AnswerDecoder();
+        HttpConnection connection = new HttpConnection(decoder);
+        Bootstrap bootstrap = new Bootstrap().group(mLoop).channel(NioSocketChannel.class);
+        for (Map.Entry<ChannelOption<?>, Object> option : Sockets.connectionOptions().entrySet()) {
+            setOption(bootstrap, option.getKey(), option.getValue());
+        }
+        bootstrap
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                .handler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline()
+                                        .addLast(new HttpRequestEncoder(), decoder, connection);
+                            }
+                        })
+                .connect(address.socketAddress())
+                .addListener(
+                        future -> {
+                            if (future.isSuccess()) {
+                                opened.accept(connection);
+                            } else {
+                                failed.run();
+                            }
+                        });
+    }
+
+    @SuppressWarnings("unchecked")
+    private static void setOption(Bootstrap bootstrap, ChannelOption<?> option, Object value) {
+        bootstrap.option((ChannelOption<Object>) option, value);
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ControlServer.java
@@ -0,0 +1,109 @@
+package org.magnoliapick.gateway.internal.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.magnoliapick.gateway.AddressPort;
+
+/** Answers short questions by path: readiness and metrics. */
+public final class ControlServer {
+    private final EventLoopGroup mLoop;
+    private final Map<String, Supplier<Page>> mPages;
+
+    /** Creates a server that does not listen yet. */
+    public ControlServer(EventLoopGroup loop, Map<String, Supplier<Page>> pages) {
+        mLoop = loop;
+        mPages = Map.copyOf(pages);
+    }
+
+    /**
+     * An answer.
+     *
+     * @param ok whether the status is 200; otherwise it is 503
+     * @param text the body
+     */
+    public record Page(boolean ok, String text) {}
+
+    /**
+     * Listens.
+     *
+     * @throws InterruptedException if interrupted before the address was bound
+     */
+    public void listen(AddressPort address) throws InterruptedException {
+        new ServerBootstrap()
+                .group(mLoop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline().addLast(new HttpServerCodec(), new Answering());
+                            }
+                        })
+                .bind(address.socketAddress())
+                .sync();
+    }
+
+    private FullHttpResponse answer(String uri) {
+        int query = uri.indexOf('?');
+        Supplier<Page> page = mPages.get(query < 0 ? uri : uri.substring(0, query));
+        HttpResponseStatus status = HttpResponseStatus.NOT_FOUND;
+        String text = "";
+        if (page != null) {
+            Page made = page.get();
+            status = made.ok() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+            text = made.text();
+        }
+        FullHttpResponse answer =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        status,
+                        Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        answer.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+                .set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+        return answer;
+    }
+
+    private final class Answering extends SimpleChannelInboundHandler<HttpObject> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) {
+            if (!(msg instanceof HttpRequest head)) {
+                return;
+            }
+            boolean keep = HttpUtil.isKeepAlive(head) && head.decoderResult().isSuccess();
+            FullHttpResponse answer = answer(head.uri());
+            HttpUtil.setKeepAlive(answer, keep);
+            ctx.writeAndFlush(answer)
+                    .addListener(
+                            keep
+                                    ? ChannelFutureListener.CLOSE_ON_FAILURE
+                                    : ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
@@ -0,0 +1,70 @@
+package org.magnoliapick.gateway.internal.relay;
+
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.magnoliapick.gateway.Dialect;
+import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.relay.FleetRetryBudget;
+import org.magnoliapick.route.TrafficConfig;
+
+/** What all relays of an instance share. Everything runs on the one event loop. */
+public final class RelayContext {
+    private final EventLoop mLoop;
+    private final LongSupplier mClockMillis;
+    private final Dialect mDialect;
+    private final FleetRetryBudget mBudget;
+    private final EventLog mLog;
+    private final RelayCounters mCounters = new RelayCounters();
+    private Optional<TrafficConfig> mConfig = Optional.empty();
+
+    /** Creates a context without a configuration. */
+    public RelayContext(
+            EventLoop loop,
+            LongSupplier clockMillis,
+            Dialect dialect,
+            FleetRetryBudget budget,
+            EventLog log) {
+        mLoop = loop;
+        mClockMillis = clockMillis;
+        mDialect = dialect;
+        mBudget = budget;
+        mLog = log;
+    }
+
+    /** Puts a version of the configuration in force. */
+    public void configured(TrafficConfig config) {
+        mConfig = Optional.of(config);
+    }
+
+    /** Returns the configuration in force. */
+    public Optional<TrafficConfig> config() {
+        return mConfig;
+    }
+
+    /** Returns the time in milliseconds, which never goes back. */
+    public long nowMillis() {
+        return mClockMillis.getAsLong();
+    }
+
+    /** Returns what was counted. */
+    public RelayCounters counters() {
+        return mCounters;
+    }
+
+    EventLoop loop() {
+        return mLoop;
+    }
+
+    Dialect dialect() {
+        return mDialect;
+    }
+
+    FleetRetryBudget budget() {
+        return mBudget;
+    }
+
+    EventLog log() {
+        return mLog;
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -0,0 +1,144 @@
+package org.magnoliapick.gateway.internal.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.ArrayList;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.magnoliapick.errors.ErrorKind;
+import org.magnoliapick.gateway.CallHead;
+import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.pool.PoolAction;
+import org.magnoliapick.pool.PoolJob;
+import org.magnoliapick.relay.RelayRequest;
+import org.magnoliapick.route.Route;
+import org.magnoliapick.route.TrafficConfig;
+import org.magnoliapick.route.WorkspaceRule;
+
+/** Takes requests from callers and keeps those that are under way. */
+public final class Relays {
+    /** What a caller is told to wait where this instance knows no configuration yet. */
+    private static final long UNREADY_WAIT_MILLIS = 500;
+
+    private final RelayContext mContext;
+    private final Map<PoolJob, Relay> mByJob = new IdentityHashMap<>();
+    private final List<Relay> mUnderWay = new ArrayList<>();
+    private Pools mPools;
+    private boolean mStopping;
+
+    /** Creates an empty set. */
+    public Relays(RelayContext context) {
+        mContext = context;
+    }
+
+    /** Sets the pools, which in turn report their decisions here. */
+    public void pools(Pools pools) {
+        mPools = pools;
+    }
+
+    /** Carries out what a pool decided. */
+    public void carryOut(PoolAction action) {
+        Relay relay = mByJob.remove(action.job());
+        if (relay == null) {
+            throw new IllegalStateException("No request for " + action);
+        }
+        if (action instanceof PoolAction.Start start) {
+            relay.start(start);
+        } else if (action instanceof PoolAction.Refuse refuse) {
+            relay.refused(refuse);
+        }
+    }
+
+    /** Refuses requests from now on, because the instance stops. */
+    public void stopping() {
+        mStopping = true;
+    }
+
+    /** Returns how many requests are under way. */
+    public int underWay() {
+        return mUnderWay.size();
+    }
+
+    /**
+     * Takes a whole request; the answer may come before this returns.
+     *
+     * @param body the body, which is taken over
+     */
+    public Relay begin(HttpRequest head, ByteBuf body, CallerAnswer answer, long arrivedMillis) {
+        mContext.counters().received();
+        Relay relay = new Relay(mContext, mPools, this, head, body, answer);
+        mUnderWay.add(relay);
+        Optional<CallHead> call = mContext.dialect().readCall(head);
+        Optional<TrafficConfig> config = mContext.config();
+        if (call.isEmpty()) {
+            relay.refuse(ErrorKind.BAD_REQUEST, OptionalLong.empty());
+        } else if (config.isEmpty() || mStopping) {
+            relay.refuse(ErrorKind.NOT_READY, OptionalLong.of(UNREADY_WAIT_MILLIS));
+        } else {
+            route(relay, head, call.get(), config.get(), arrivedMillis);
+        }
+        return relay;
+    }
+
+    private void route(
+            Relay relay,
+            HttpRequest head,
+            CallHead call,
+            TrafficConfig config,
+            long arrivedMillis) {
+        String host = head.headers().get(HttpHeaderNames.HOST, "");
+        Optional<Route> route = config.routes().find(host, head.uri());
+        Optional<String> service = route.flatMap(each -> each.serviceFor(call.id()));
+        if (service.isEmpty()) {
+            relay.refuse(ErrorKind.NOT_FOUND, OptionalLong.empty());
+            return;
+        }
+        Optional<WorkspaceRule> workspace = call.key().flatMap(config::workspaceOf);
+        boolean asksForKey = config.asksForKeys() && !route.get().open();
+        if (asksForKey && workspace.isEmpty()) {
+            relay.refuse(ErrorKind.UNAUTHENTICATED, OptionalLong.empty());
+            return;
+        }
+        Optional<WorkspaceId> id = asksForKey ? workspace.map(WorkspaceRule::id) : Optional.empty();
+        long timeoutMillis = route.get().timeoutMillis();
+        RelayRequest request =
+                new RelayRequest(
+                        call.id(),
+                        route.get(),
+                        service.get(),
+                        id,
+                        call.prompt(),
+                        call.resumeAfter(),
+                        arrivedMillis,
+                        arrivedMillis + call.leftMillis().orElse(timeoutMillis),
+                        config.version());
+        mContext.budget().counted(service.get(), mContext.nowMillis());
+        int rank = workspace.map(WorkspaceRule::priority).orElse(0) * 100 + route.get().priority();
+        relay.admit(request, rank);
+    }
+
+    /** Lets time pass: looks for streams that have gone silent. */
+    public void tick(long nowMillis) {
+        for (Relay relay : List.copyOf(mUnderWay)) {
+            relay.tick(nowMillis);
+        }
+    }
+
+    void waiting(PoolJob job, Relay relay) {
+        mByJob.put(job, relay);
+    }
+
+    void withdrawn(PoolJob job) {
+        if (mByJob.remove(job) != null) {
+            mPools.withdraw(job);
+        }
+    }
+
+    void ended(Relay relay) {
+        mUnderWay.remove(relay);
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigSource.java
@@ -0,0 +1,92 @@
+package org.magnoliapick.gateway.internal.store;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.magnoliapick.gateway.Dialect;
+import org.magnoliapick.gateway.StoreCall;
+import org.magnoliapick.gateway.StoreRecord;
+import org.magnoliapick.gateway.StoreTopic;
+import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.route.TrafficConfig;
+
+/** Takes over versions of the configuration, never an older one than before. */
+public final class ConfigSource implements StoreFollower.StoreSource {
+    /** How long the store holds a call until a version comes, in milliseconds. */
+    private static final long WAIT_MILLIS = 15_000;
+
+    private final Dialect mDialect;
+    private final EventLog mLog;
+    private final Consumer<TrafficConfig> mSink;
+    private long mVersion = Long.MIN_VALUE;
+
+    /** Creates a source. */
+    public ConfigSource(Dialect dialect, EventLog log, Consumer<TrafficConfig> sink) {
+        mDialect = dialect;
+        mLog = log;
+        mSink = sink;
+    }
+
+    @Override
+    public StoreTopic topic() {
+        return StoreTopic.CONFIG;
+    }
+
+    @Override
+    public StoreCall newest(Optional<String> afterKey) {
+        return mDialect.newest(topic(), afterKey);
+    }
+
+    @Override
+    public StoreCall read(long fromOffset) {
+        return mDialect.read(topic(), fromOffset, WAIT_MILLIS);
+    }
+
+    @Override
+    public long waitMillis() {
+        return WAIT_MILLIS;
+    }
+
+    @Override
+    public long pauseMillis() {
+        return 0;
+    }
+
+    @Override
+    public void whole(List<StoreRecord> records, long endOffset) {
+        added(records);
+    }
+
+    @Override
+    public void added(List<StoreRecord> records) {
+        for (StoreRecord record : records) {
+            if (!record.dropsKey()) {
+                mDialect.readConfig(record.key(), record.value())
+                        .ifPresent(config -> take(config, record.offset()));
+            }
+        }
+    }
+
+    private void take(TrafficConfig config, long offset) {
+        if (config.version() <= mVersion) {
+            return;
+        }
+        mVersion = config.version();
+        mLog.line("config.in-force")
+                .with("version", config.version())
+                .with("offset", offset)
+                .with("routes", config.routes().all().size())
+                .log();
+        mSink.accept(config);
+    }
+
+    @Override
+    public void lost() {
+        // The version in force stays.
+    }
+
+    @Override
+    public void back() {
+        // Nothing was assumed about the time in between.
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/UpstreamSource.java
@@ -0,0 +1,135 @@
+package org.magnoliapick.gateway.internal.store;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.magnoliapick.gateway.Dialect;
+import org.magnoliapick.gateway.StoreCall;
+import org.magnoliapick.gateway.StoreRecord;
+import org.magnoliapick.gateway.StoreTopic;
+import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.pool.ListedUpstream;
+import org.magnoliapick.pool.UpstreamDirectory;
+
+/** Takes over the list of upstreams. */
+public final class UpstreamSource implements StoreFollower.StoreSource {
+    /**
+     * The pause between readings, in milliseconds. Entries are renewed all the time, so a waiting
+     * call would return at once; a leaving upstream has to be known within two seconds.
+     */
+    private static final long PAUSE_MILLIS = 700;
+
+    private final Dialect mDialect;
+    private final EventLog mLog;
+    private final UpstreamDirectory mDirectory;
+    private final LongSupplier mClockMillis;
+    private final Runnable mChanged;
+
+    /**
+     * Creates a source.
+     *
+     * @param changed runs when what may be used changed
+     */
+    public UpstreamSource(
+            Dialect dialect,
+            EventLog log,
+            UpstreamDirectory directory,
+            LongSupplier clockMillis,
+            Runnable changed) {
+        mDialect = dialect;
+        mLog = log;
+        mDirectory = directory;
+        mClockMillis = clockMillis;
+        mChanged = changed;
+    }
+
+    @Override
+    public StoreTopic topic() {
+        return StoreTopic.UPSTREAMS;
+    }
+
+    @Override
+    public StoreCall newest(Optional<String> afterKey) {
+        return mDialect.newest(topic(), afterKey);
+    }
+
+    @Override
+    public StoreCall read(long fromOffset) {
+        return mDialect.read(topic(), fromOffset, 0);
+    }
+
+    @Override
+    public long waitMillis() {
+        return 0;
+    }
+
+    @Override
+    public long pauseMillis() {
+        return PAUSE_MILLIS;
+    }
+
+    @Override
+    public void whole(List<StoreRecord> records, long endOffset) {
+        Set<UpstreamId> listed = new HashSet<>();
+        records.stream()
+                .filter(each -> !each.dropsKey() && !each.key().isBlank())
+                .forEach(each -> listed.add(new UpstreamId(each.key())));
+        boolean changed = mDirectory.keepOnly(listed, endOffset, mClockMillis.getAsLong());
+        take(records, changed);
+    }
+
+    @Override
+    public void added(List<StoreRecord> records) {
+        take(records, false);
+    }
+
+    private void take(List<StoreRecord> records, boolean changedBefore) {
+        boolean changed = changedBefore;
+        for (StoreRecord record : records) {
+            changed |= take(record);
+        }
+        if (changed) {
+            mChanged.run();
+        }
+    }
+
+    private boolean take(StoreRecord record) {
+        long nowMillis = mClockMillis.getAsLong();
+        if (record.key().isBlank() || record.key().length() > 200) {
+            return false;
+        }
+        UpstreamId id = new UpstreamId(record.key());
+        if (record.dropsKey()) {
+            boolean changed = mDirectory.remove(id, record.offset(), nowMillis);
+            mLog.line("upstream.ended").with("upstream", id).with("changed", changed).log();
+            return changed;
+        }
+        Optional<ListedUpstream> upstream = mDialect.readUpstream(id, record.value());
+        if (upstream.isEmpty()) {
+            mLog.line("upstream.unreadable").with("upstream", id).log();
+            return false;
+        }
+        boolean changed = mDirectory.put(upstream.get(), record.offset(), nowMillis);
+        if (changed) {
+            mLog.line("upstream.listed")
+                    .with("upstream", id)
+                    .with("leaving", upstream.get().leaving())
+                    .with("offset", record.offset())
+                    .log();
+        }
+        return changed;
+    }
+
+    @Override
+    public void lost() {
+        mDirectory.listLost(mClockMillis.getAsLong());
+    }
+
+    @Override
+    public void back() {
+        mDirectory.listBack(mClockMillis.getAsLong());
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** The gateway process and the interfaces through which it meets what stands around it. */
+package org.magnoliapick.gateway;
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** HTTP adapters of the ports. */
-package org.magnoliapick.platform.internal;
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/AppendResult.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/AppendResult.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform;
+package org.magnoliapick.ports;
 
 /** How an append to the log ended. */
 public sealed interface AppendResult {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/AttemptFailure.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/AttemptFailure.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform;
+package org.magnoliapick.ports;
 
 /** Why an attempt at an upstream ended without a whole answer. */
 public enum AttemptFailure {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/InstanceList.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/InstanceList.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform;
+package org.magnoliapick.ports;
 
 import java.time.Duration;
 import java.util.List;
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/LogEntry.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/LogEntry.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform;
+package org.magnoliapick.ports;
 
 /**
  * An entry read from a stream of the log.
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/ModelStream.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/ModelStream.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform;
+package org.magnoliapick.ports;
 
 /** Receives a model's answer on the calling thread. */
 public interface ModelStream {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/Platform.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/Platform.java
@@ -1,7 +1,7 @@
-package org.magnoliapick.platform;
+package org.magnoliapick.ports;
 
 import java.util.function.LongSupplier;
-import org.magnoliapick.platform.internal.HttpPlatform;
+import org.magnoliapick.ports.internal.HttpPlatform;
 
 /** All ports of one process, with the connections behind them. */
 public interface Platform extends AutoCloseable {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/PlatformSettings.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/PlatformSettings.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform;
+package org.magnoliapick.ports;
 
 /**
  * Where the platform's services are, and the bounds of every call to them and to upstreams.
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/DeadlineTimer.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/DeadlineTimer.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/Exchange.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/Exchange.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -9,7 +9,7 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpStatus;
 import org.magnoliapick.lib.AttemptId;
-import org.magnoliapick.platform.AttemptFailure;
+import org.magnoliapick.ports.AttemptFailure;
 
 /** The answer of one exchange, from its head on. */
 final class Exchange {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/ExchangeException.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/ExchangeException.java
@@ -1,7 +1,7 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.io.IOException;
-import org.magnoliapick.platform.AttemptFailure;
+import org.magnoliapick.ports.AttemptFailure;
 
 /** An exchange that ended without a whole answer. */
 final class ExchangeException extends IOException {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/HttpInstanceList.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/HttpInstanceList.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -10,9 +10,9 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.apache.hc.core5.http.HttpStatus;
-import org.magnoliapick.platform.Endpoint;
-import org.magnoliapick.platform.InstanceList;
-import org.magnoliapick.platform.ListedMember;
+import org.magnoliapick.ports.Endpoint;
+import org.magnoliapick.ports.InstanceList;
+import org.magnoliapick.ports.ListedMember;
 
 /** Reaches the instance list over HTTP. */
 final class HttpInstanceList implements InstanceList {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/HttpLogService.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/HttpLogService.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.io.IOException;
 import java.net.URI;
@@ -8,10 +8,10 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.magnoliapick.platform.AppendResult;
-import org.magnoliapick.platform.Endpoint;
-import org.magnoliapick.platform.LogPage;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.AppendResult;
+import org.magnoliapick.ports.Endpoint;
+import org.magnoliapick.ports.LogPage;
+import org.magnoliapick.ports.LogService;
 
 /** Reaches the log service over HTTP. */
 final class HttpLogService implements LogService {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/HttpModelEngine.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/HttpModelEngine.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -11,11 +11,11 @@
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.magnoliapick.lib.AttemptId;
-import org.magnoliapick.platform.AttemptFailure;
-import org.magnoliapick.platform.Endpoint;
-import org.magnoliapick.platform.ModelCall;
-import org.magnoliapick.platform.ModelEngine;
-import org.magnoliapick.platform.ModelStream;
+import org.magnoliapick.ports.AttemptFailure;
+import org.magnoliapick.ports.Endpoint;
+import org.magnoliapick.ports.ModelCall;
+import org.magnoliapick.ports.ModelEngine;
+import org.magnoliapick.ports.ModelStream;
 import org.magnoliapick.share.LoadReport;
 
 /** Calls model engines over HTTP. */
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/HttpPlainService.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/HttpPlainService.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.io.IOException;
 import java.net.URI;
@@ -13,11 +13,11 @@
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.magnoliapick.platform.AttemptFailure;
-import org.magnoliapick.platform.Endpoint;
-import org.magnoliapick.platform.PlainService;
-import org.magnoliapick.platform.ServiceCall;
-import org.magnoliapick.platform.ServiceResult;
+import org.magnoliapick.ports.AttemptFailure;
+import org.magnoliapick.ports.Endpoint;
+import org.magnoliapick.ports.PlainService;
+import org.magnoliapick.ports.ServiceCall;
+import org.magnoliapick.ports.ServiceResult;
 import org.magnoliapick.share.LoadReport;
 
 /** Calls plain services over HTTP. */
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/HttpPlatform.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/HttpPlatform.java
@@ -1,13 +1,13 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.util.function.LongSupplier;
-import org.magnoliapick.platform.InstanceList;
-import org.magnoliapick.platform.LogService;
-import org.magnoliapick.platform.ModelEngine;
-import org.magnoliapick.platform.PlainService;
-import org.magnoliapick.platform.Platform;
-import org.magnoliapick.platform.PlatformSettings;
-import org.magnoliapick.platform.WeightStore;
+import org.magnoliapick.ports.InstanceList;
+import org.magnoliapick.ports.LogService;
+import org.magnoliapick.ports.ModelEngine;
+import org.magnoliapick.ports.PlainService;
+import org.magnoliapick.ports.Platform;
+import org.magnoliapick.ports.PlatformSettings;
+import org.magnoliapick.ports.WeightStore;
 
 /** Wires one HTTP adapter to each port. */
 public final class HttpPlatform implements Platform {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/HttpTransport.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/HttpTransport.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.io.IOException;
 import java.util.concurrent.RejectedExecutionException;
@@ -20,9 +20,9 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
-import org.magnoliapick.platform.AttemptFailure;
-import org.magnoliapick.platform.Endpoint;
-import org.magnoliapick.platform.PlatformSettings;
+import org.magnoliapick.ports.AttemptFailure;
+import org.magnoliapick.ports.Endpoint;
+import org.magnoliapick.ports.PlatformSettings;
 
 /** Makes single HTTP exchanges with a deadline each, over one bounded pool of connections. */
 final class HttpTransport implements AutoCloseable {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/HttpWeightStore.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/HttpWeightStore.java
@@ -1,9 +1,9 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.time.Duration;
 import java.util.Optional;
-import org.magnoliapick.platform.Endpoint;
-import org.magnoliapick.platform.WeightStore;
+import org.magnoliapick.ports.Endpoint;
+import org.magnoliapick.ports.WeightStore;
 
 /** Reaches the weight store over HTTP. */
 final class HttpWeightStore implements WeightStore {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/Json.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/Json.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -7,7 +7,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import org.magnoliapick.platform.AttemptFailure;
+import org.magnoliapick.ports.AttemptFailure;
 
 /** Reads JSON strictly: a missing field or a field of another type is a malformed answer. */
 final class Json {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/JsonClient.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/JsonClient.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -9,7 +9,7 @@
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.magnoliapick.platform.Endpoint;
+import org.magnoliapick.ports.Endpoint;
 import org.magnoliapick.share.LoadReport;
 
 /** Asks small questions that are answered with one JSON object. */
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/LogPageDecoder.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/LogPageDecoder.java
@@ -1,11 +1,11 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
-import org.magnoliapick.platform.LogEntry;
-import org.magnoliapick.platform.LogPage;
+import org.magnoliapick.ports.LogEntry;
+import org.magnoliapick.ports.LogPage;
 
 /** Reads a page of the log and checks that it is a run without gaps from where it was asked. */
 final class LogPageDecoder {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/ModelAnswer.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/ModelAnswer.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
@@ -7,8 +7,8 @@
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.Optional;
-import org.magnoliapick.platform.AttemptFailure;
-import org.magnoliapick.platform.ModelStream;
+import org.magnoliapick.ports.AttemptFailure;
+import org.magnoliapick.ports.ModelStream;
 
 /** Feeds one answer of a model engine, streamed or not, to a stream and ends it exactly once. */
 final class ModelAnswer {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/Paths.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/Paths.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/SseDecoder.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/SseDecoder.java
@@ -1,11 +1,11 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import org.magnoliapick.platform.AttemptFailure;
+import org.magnoliapick.ports.AttemptFailure;
 
 /** Reads server-sent events; the data of an event stays as the bytes that were sent. */
 final class SseDecoder {
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/internal/WireNames.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/WireNames.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 /** Header names towards upstreams. */
 final class WireNames {
--- /dev/null
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/internal/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP adapters of the ports. */
+package org.magnoliapick.ports.internal;
--- a/magnoliapick-platform/src/main/java/org/magnoliapick/platform/package-info.java
+++ b/magnoliapick-ports/src/main/java/org/magnoliapick/ports/package-info.java
@@ -1,2 +1,2 @@
 /** Ports to the platform and the upstreams; their adapters live in {@code internal}. */
-package org.magnoliapick.platform;
+package org.magnoliapick.ports;
--- a/magnoliapick-platform/src/test/java/org/magnoliapick/platform/internal/DecoderPropertiesTest.java
+++ b/magnoliapick-ports/src/test/java/org/magnoliapick/ports/internal/DecoderPropertiesTest.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -14,8 +14,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import org.magnoliapick.platform.AttemptFailure;
-import org.magnoliapick.platform.LogPage;
+import org.magnoliapick.ports.AttemptFailure;
+import org.magnoliapick.ports.LogPage;
 
 final class DecoderPropertiesTest {
     private static final String SEED = "20261204";
--- a/magnoliapick-platform/src/test/java/org/magnoliapick/platform/internal/HttpModelEngineTest.java
+++ b/magnoliapick-ports/src/test/java/org/magnoliapick/ports/internal/HttpModelEngineTest.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -12,13 +12,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.magnoliapick.lib.AttemptId;
-import org.magnoliapick.platform.AttemptFailure;
-import org.magnoliapick.platform.Endpoint;
-import org.magnoliapick.platform.ModelCall;
-import org.magnoliapick.platform.ModelEngine.EngineOrder;
-import org.magnoliapick.platform.ModelEngine.OrderResult;
-import org.magnoliapick.platform.Platform;
-import org.magnoliapick.platform.PlatformSettings;
+import org.magnoliapick.ports.AttemptFailure;
+import org.magnoliapick.ports.Endpoint;
+import org.magnoliapick.ports.ModelCall;
+import org.magnoliapick.ports.ModelEngine.EngineOrder;
+import org.magnoliapick.ports.ModelEngine.OrderResult;
+import org.magnoliapick.ports.Platform;
+import org.magnoliapick.ports.PlatformSettings;
 import org.magnoliapick.standin.EngineOptions;
 import org.magnoliapick.standin.EngineStandin;
 import org.magnoliapick.standin.Fault;
--- a/magnoliapick-platform/src/test/java/org/magnoliapick/platform/internal/HttpPlainServiceTest.java
+++ b/magnoliapick-ports/src/test/java/org/magnoliapick/ports/internal/HttpPlainServiceTest.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -11,12 +11,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.magnoliapick.lib.AttemptId;
-import org.magnoliapick.platform.AttemptFailure;
-import org.magnoliapick.platform.Endpoint;
-import org.magnoliapick.platform.Platform;
-import org.magnoliapick.platform.PlatformSettings;
-import org.magnoliapick.platform.ServiceCall;
-import org.magnoliapick.platform.ServiceResult;
+import org.magnoliapick.ports.AttemptFailure;
+import org.magnoliapick.ports.Endpoint;
+import org.magnoliapick.ports.Platform;
+import org.magnoliapick.ports.PlatformSettings;
+import org.magnoliapick.ports.ServiceCall;
+import org.magnoliapick.ports.ServiceResult;
 import org.magnoliapick.standin.Fault;
 import org.magnoliapick.standin.ServiceOptions;
 import org.magnoliapick.standin.ServiceStandin;
--- a/magnoliapick-platform/src/test/java/org/magnoliapick/platform/internal/HttpPlatformServicesTest.java
+++ b/magnoliapick-ports/src/test/java/org/magnoliapick/ports/internal/HttpPlatformServicesTest.java
@@ -1,4 +1,4 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -12,12 +12,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.magnoliapick.platform.AppendResult;
-import org.magnoliapick.platform.Endpoint;
-import org.magnoliapick.platform.ListedMember;
-import org.magnoliapick.platform.LogPage;
-import org.magnoliapick.platform.Platform;
-import org.magnoliapick.platform.PlatformSettings;
+import org.magnoliapick.ports.AppendResult;
+import org.magnoliapick.ports.Endpoint;
+import org.magnoliapick.ports.ListedMember;
+import org.magnoliapick.ports.LogPage;
+import org.magnoliapick.ports.Platform;
+import org.magnoliapick.ports.PlatformSettings;
 import org.magnoliapick.standin.Fault;
 import org.magnoliapick.standin.ListOptions;
 import org.magnoliapick.standin.ListStandin;
--- a/magnoliapick-platform/src/test/java/org/magnoliapick/platform/internal/RecordingStream.java
+++ b/magnoliapick-ports/src/test/java/org/magnoliapick/ports/internal/RecordingStream.java
@@ -1,11 +1,11 @@
-package org.magnoliapick.platform.internal;
+package org.magnoliapick.ports.internal;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.magnoliapick.platform.AttemptFailure;
-import org.magnoliapick.platform.ModelStream;
+import org.magnoliapick.ports.AttemptFailure;
+import org.magnoliapick.ports.ModelStream;
 
 /** Keeps what a model's answer brought. */
 final class RecordingStream implements ModelStream {
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/PlatformAddresses.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/PlatformAddresses.java
@@ -2,7 +2,7 @@
 
 import jakarta.validation.constraints.NotNull;
 import jakarta.validation.constraints.Pattern;
-import org.magnoliapick.platform.Endpoint;
+import org.magnoliapick.ports.Endpoint;
 
 /**
  * Where the platform's services listen.
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/RouterSockets.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/RouterSockets.java
@@ -2,7 +2,7 @@
 
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
-import org.magnoliapick.platform.Platform;
+import org.magnoliapick.ports.Platform;
 import org.magnoliapick.router.internal.member.PeerPort;
 import org.magnoliapick.rpc.PeerLinks;
 import org.magnoliapick.rpc.PeerServer;
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/admin/AdminModule.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/admin/AdminModule.java
@@ -14,7 +14,7 @@
 import org.magnoliapick.admin.FleetQuery;
 import org.magnoliapick.admin.SummaryReader;
 import org.magnoliapick.admin.SummaryWriter;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.LogService;
 import org.magnoliapick.record.DecisionRecord;
 import org.magnoliapick.router.AdminSettings;
 import org.magnoliapick.router.internal.RouterIdentity;
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/caller/ModelRelay.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/caller/ModelRelay.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import org.magnoliapick.lib.AttemptId;
-import org.magnoliapick.platform.AttemptFailure;
-import org.magnoliapick.platform.ModelStream;
+import org.magnoliapick.ports.AttemptFailure;
+import org.magnoliapick.ports.ModelStream;
 import org.magnoliapick.request.AttemptEnd;
 
 /** Numbers the pieces of one model answer and hands them to the request. */
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/claim/ClaimShard.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/claim/ClaimShard.java
@@ -19,10 +19,10 @@
 import org.magnoliapick.claim.ClaimVerdict;
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.lib.AttemptId;
-import org.magnoliapick.platform.AppendResult;
-import org.magnoliapick.platform.LogEntry;
-import org.magnoliapick.platform.LogPage;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.AppendResult;
+import org.magnoliapick.ports.LogEntry;
+import org.magnoliapick.ports.LogPage;
+import org.magnoliapick.ports.LogService;
 import org.magnoliapick.router.internal.supervisor.Part;
 
 /** One claim stream of the log: reads it, and appends this instance's claims to it in batches. */
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/claim/LogClaims.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/claim/LogClaims.java
@@ -21,7 +21,7 @@
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.lib.AttemptId;
 import org.magnoliapick.lib.InstanceId;
-import org.magnoliapick.platform.LogService;
+import org.magnoliapick.ports.LogService;
 import org.magnoliapick.router.ClaimSettings;
 import org.magnoliapick.router.LimitSettings;
 import org.magnoliapick.router.internal.RouterIdentity;
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/config/RecentEntries.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/config/RecentEntries.java
@@ -4,8 +4,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import org.magnoliapick.platform.LogEntry;
-import org.magnoliapick.platform.LogPage;
+import org.magnoliapick.ports.LogEntry;
+import org.magnoliapick.ports.LogPage;
 
 /**
  * The last entries that this instance read from the log itself, from which it serves others.
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/config/RelayedPage.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/config/RelayedPage.java
@@ -5,8 +5,8 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
-import org.magnoliapick.platform.LogEntry;
-import org.magnoliapick.platform.LogPage;
+import org.magnoliapick.ports.LogEntry;
+import org.magnoliapick.ports.LogPage;
 
 /**
  * What a relay answers to an instance that reads the configuration through it.
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/member/Members.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/member/Members.java
@@ -10,7 +10,7 @@
 import org.magnoliapick.member.MemberState;
 import org.magnoliapick.member.RouterMember;
 import org.magnoliapick.member.UpstreamMember;
-import org.magnoliapick.platform.ListedMember;
+import org.magnoliapick.ports.ListedMember;
 
 /** Translates entries of the platform's list. */
 final class Members {
--- a/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/order/Weights.java
+++ b/magnoliapick-router/src/main/java/org/magnoliapick/router/internal/order/Weights.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.magnoliapick.order.PoolOrder;
-import org.magnoliapick.platform.WeightStore;
+import org.magnoliapick.ports.WeightStore;
 
 /** What the weight store says of sizes and its rate; sizes never change, so they are kept. */
 @Singleton
--- a/magnoliapick-router/src/test/java/org/magnoliapick/router/internal/config/RecentEntriesTest.java
+++ b/magnoliapick-router/src/test/java/org/magnoliapick/router/internal/config/RecentEntriesTest.java
@@ -5,8 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.magnoliapick.platform.LogEntry;
-import org.magnoliapick.platform.LogPage;
+import org.magnoliapick.ports.LogEntry;
+import org.magnoliapick.ports.LogPage;
 
 final class RecentEntriesTest {
     private static final long NOW_MILLIS = 1_000_000;
