Tell the other instances of use and served tokens; keep shared parts at one home

Change: datagrams with use, served tokens and the waiting level; a workspace starts only up to the least served that waits elsewhere plus one large request; rendezvous home for shared parts; after a stop is asked for answers say close, after 3 s nothing is taken.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Placing.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Placing.java
@@ -32,13 +32,10 @@
 
     private Placing() {}
 
-    static Optional<Choice> engine(
-            PoolJob job,
-            UpstreamLoad load,
-            EngineSpec engine,
-            FailureDomain domain,
-            long nowMillis) {
-        long newTokens = newTokens(job, load);
+    static Optional<Choice> engine(Weighing weighing, EngineSpec engine, long nowMillis) {
+        PoolJob job = weighing.job();
+        UpstreamLoad load = weighing.load();
+        long newTokens = weighing.newTokens();
         long readingTokens = load.readingTokens(nowMillis);
         boolean slotsLeft = load.running(nowMillis) < Math.max(1, engine.slots() * SLOTS_SHARE);
         boolean memoryLeft =
@@ -52,7 +49,7 @@
             return Optional.empty();
         }
         double readMillis = newTokens / load.tokensPerMilli();
-        double cost = firstMillis + readMillis + common(load, domain);
+        double cost = firstMillis + readMillis + common(load, weighing.domain());
         return Optional.of(new Choice(load, newTokens, cost));
     }
 
@@ -67,12 +64,6 @@
         return Optional.of(new Choice(load, 0, cost));
     }
 
-    /** Returns how many tokens of its prompt an upstream would have to read. */
-    static long newTokens(PoolJob job, UpstreamLoad load) {
-        Prompt prompt = job.request().prompt();
-        return load.newTokens(prompt.parts(), prompt.promptTokens());
-    }
-
     /** Returns how much memory a request may come to fill, in tokens. */
     static long memoryTokens(PoolJob job) {
         Prompt prompt = job.request().prompt();
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import org.magnoliapick.errors.ErrorKind;
+import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.request.AttemptEnd;
 import org.magnoliapick.route.EngineSpec;
 import org.magnoliapick.route.ServiceSpec;
@@ -26,6 +28,8 @@
     private final ServedWindow mServed;
     private final Map<UpstreamId, UpstreamLoad> mLoads = new HashMap<>();
     private final WaitingJobs mWaiting = new WaitingJobs();
+    private final WaitingLevels mLevels = new WaitingLevels();
+    private final HomeUpstreams mHomes = new HomeUpstreams();
     private ServiceSpec mService;
 
     /** Creates a pool without upstreams. */
@@ -46,6 +50,7 @@
         upstreams.forEach(each -> byId.put(each.id(), each));
         mLoads.keySet().retainAll(byId.keySet());
         byId.values().forEach(this::listed);
+        mHomes.listed(byId.keySet());
     }
 
     private void listed(ListedUpstream upstream) {
@@ -58,23 +63,26 @@
     }
 
     /** Takes what another instance told of its use. */
-    public void peer(InstanceUse use, long nowMillis) {
-        for (UpstreamUse each : use.uses()) {
-            UpstreamLoad load = mLoads.get(each.upstream());
-            if (load != null) {
-                load.peer(use.instance(), each, nowMillis);
-            }
-        }
-        mServed.peer(use.instance(), use.servedTokens(), nowMillis);
+    public void peer(InstanceId instance, PoolUse use, long nowMillis) {
+        Map<UpstreamId, UpstreamUse> uses = new HashMap<>();
+        use.uses().forEach(each -> uses.put(each.upstream(), each));
+        mLoads.forEach(
+                (id, load) -> load.peer(instance, Optional.ofNullable(uses.get(id)), nowMillis));
+        mServed.peer(instance, use.servedTokens(), nowMillis);
+        mLevels.peer(instance, use.waitingLevelTokens(), nowMillis);
     }
 
     /** Returns this instance's own use, to tell the others. */
-    public InstanceUse own(org.magnoliapick.lib.InstanceId instance, long nowMillis) {
+    public PoolUse own(long nowMillis) {
         List<UpstreamUse> uses = new ArrayList<>();
         for (UpstreamLoad load : mLoads.values()) {
-            uses.add(load.own());
+            load.own().ifPresent(uses::add);
         }
-        return new InstanceUse(instance, uses, mServed.own(nowMillis));
+        return new PoolUse(
+                mService.name(),
+                uses,
+                mServed.own(nowMillis),
+                mWaiting.leastServed(mServed, nowMillis));
     }
 
     /** Takes a request; returns what is decided now, about it and about others. */
@@ -135,8 +143,9 @@
         Iterator<PoolJob> order = mWaiting.order(mServed, nowMillis).iterator();
         while (order.hasNext()) {
             PoolJob job = order.next();
+            room = room && (job.underWay() || isTurn(job, nowMillis));
             Optional<PoolAction> action = room ? place(job, nowMillis) : Optional.empty();
-            room &= action.isPresent();
+            room = action.isPresent();
             action.or(() -> refuseLate(job, nowMillis))
                     .ifPresent(
                             each -> {
@@ -147,6 +156,11 @@
         return actions;
     }
 
+    /** Returns whether no other instance holds a request of a workspace that was served less. */
+    private boolean isTurn(PoolJob job, long nowMillis) {
+        return mServed.of(job.account(), nowMillis) <= mLevels.leastTokens(nowMillis);
+    }
+
     private Optional<PoolAction> place(PoolJob job, long nowMillis) {
         Choice best = null;
         for (UpstreamLoad load : mLoads.values()) {
@@ -166,10 +180,17 @@
             return Optional.empty();
         }
         return mService.engine().isPresent()
-                ? Placing.engine(job, load, mService.engine().get(), mSettings.domain(), nowMillis)
+                ? Placing.engine(weigh(job, load), mService.engine().get(), nowMillis)
                 : Placing.plain(load, mSettings.domain(), nowMillis);
     }
 
+    private Weighing weigh(PoolJob job, UpstreamLoad load) {
+        Prompt prompt = job.request().prompt();
+        boolean home = mHomes.home(prompt.parts()).filter(load.upstream().id()::equals).isPresent();
+        long newTokens = load.newTokens(prompt, home);
+        return new Weighing(job, load, newTokens, mSettings.domain());
+    }
+
     private PoolAction start(PoolJob job, Choice choice, long nowMillis) {
         UpstreamLoad load = choice.load();
         Optional<EngineSpec> engine = mService.engine();
@@ -199,7 +220,7 @@
         }
         long firstMillis = Long.MAX_VALUE;
         for (UpstreamLoad load : mLoads.values()) {
-            long newTokens = Placing.newTokens(job, load);
+            long newTokens = weigh(job, load).newTokens();
             firstMillis = Math.min(firstMillis, load.firstEventMillis(newTokens, nowMillis));
         }
         return nowMillis + firstMillis > job.request().onTimeMillis()
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.route.EngineSpec;
 
@@ -29,6 +30,9 @@
     /** The weight of one observation in the reading speed. */
     private static final double SPEED_WEIGHT = 0.15;
 
+    /** The part of a prompt's shared parts that its home is expected to keep, unseen. */
+    private static final double HOME_KEPT_SHARE = 0.8;
+
     private final UpstreamHealth mHealth = new UpstreamHealth();
     private final Map<InstanceId, PeerUse> mPeers = new HashMap<>();
     private final Optional<CacheBelief> mCache;
@@ -58,9 +62,17 @@
         mUpstream = upstream;
     }
 
-    long newTokens(List<PromptPart> parts, int promptTokens) {
-        long kept = mCache.map(cache -> cache.keptTokens(parts)).orElse(0L);
-        return Math.max(0, promptTokens - kept);
+    /**
+     * Returns how many tokens of a prompt the upstream is expected to read.
+     *
+     * @param home whether all instances send prompts with this prompt's shared part here
+     */
+    long newTokens(Prompt prompt, boolean home) {
+        long kept = mCache.map(cache -> cache.keptTokens(prompt.parts())).orElse(0L);
+        if (home) {
+            kept = Math.max(kept, (long) (prompt.sharedTokens() * HOME_KEPT_SHARE));
+        }
+        return Math.max(0, prompt.promptTokens() - kept);
     }
 
     void started(Ticket ticket, List<PromptPart> parts) {
@@ -95,8 +107,12 @@
         }
     }
 
-    void peer(InstanceId instance, UpstreamUse use, long nowMillis) {
-        mPeers.put(instance, new PeerUse(use, nowMillis));
+    void peer(InstanceId instance, Optional<UpstreamUse> use, long nowMillis) {
+        if (use.isPresent()) {
+            mPeers.put(instance, new PeerUse(use.get(), nowMillis));
+        } else {
+            mPeers.remove(instance);
+        }
     }
 
     int running(long nowMillis) {
@@ -133,8 +149,11 @@
         return mTokensPerMilli;
     }
 
-    UpstreamUse own() {
-        return new UpstreamUse(mUpstream.id(), mRunning, mReadingTokens, mMemoryTokens);
+    Optional<UpstreamUse> own() {
+        return mRunning == 0
+                ? Optional.empty()
+                : Optional.of(
+                        new UpstreamUse(mUpstream.id(), mRunning, mReadingTokens, mMemoryTokens));
     }
 
     private Iterable<PeerUse> peers(long nowMillis) {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.magnoliapick.lib.WorkspaceId;
 
 /** The requests of a pool that wait at this instance, and the order in which they go. */
@@ -23,6 +24,13 @@
         return mJobs.size();
     }
 
+    /** Returns what the least served workspace that waits was served, in tokens. */
+    OptionalLong leastServed(ServedWindow served, long nowMillis) {
+        return mJobs.stream()
+                .mapToLong(job -> Math.round(served.of(job.account(), nowMillis)))
+                .min();
+    }
+
     /** Returns all in order: what is under way, then by rank, the least served workspace first. */
     List<PoolJob> order(ServedWindow served, long nowMillis) {
         List<PoolJob> order = new ArrayList<>(mJobs);
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingLevels.java
@@ -0,0 +1,36 @@
+package org.magnoliapick.pool;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.magnoliapick.lib.InstanceId;
+
+/** How far the least served workspaces that wait at other instances were served. */
+final class WaitingLevels {
+    /** How long what an instance told counts: some reports, so that a lost one does no harm. */
+    private static final long LEVEL_MILLIS = 500;
+
+    /** How far ahead a workspace may be served: about one large request. */
+    private static final long LEAD_TOKENS = 16_000;
+
+    private final Map<InstanceId, Level> mLevels = new HashMap<>();
+
+    void peer(InstanceId instance, OptionalLong tokens, long nowMillis) {
+        if (tokens.isPresent()) {
+            mLevels.put(instance, new Level(tokens.getAsLong(), nowMillis));
+        } else {
+            mLevels.remove(instance);
+        }
+    }
+
+    /** Returns up to which served tokens a workspace may start more. */
+    double leastTokens(long nowMillis) {
+        mLevels.values().removeIf(level -> nowMillis - level.atMillis() > LEVEL_MILLIS);
+        return mLevels.values().stream()
+                .mapToDouble(level -> level.tokens() + LEAD_TOKENS)
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
+    }
+
+    private record Level(long tokens, long atMillis) {}
+}
--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/Prompt.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/Prompt.java
@@ -18,6 +18,14 @@
         parts = List.copyOf(parts);
     }
 
+    /** Returns the length of the parts that other prompts may share: all but the last. */
+    public long sharedTokens() {
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1))
+                .mapToLong(PromptPart::tokens)
+                .sum();
+    }
+
     /** Returns the tokens as shares count them: once read, twice generated. */
     public long shareTokens() {
         return promptTokens + 2L * maxOutputTokens;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -13,6 +13,7 @@
 import org.magnoliapick.gateway.internal.http.ControlServer;
 import org.magnoliapick.gateway.internal.http.HttpCalls;
 import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.gateway.internal.peer.PeerSocket;
 import org.magnoliapick.gateway.internal.relay.Pools;
 import org.magnoliapick.gateway.internal.relay.RelayContext;
 import org.magnoliapick.gateway.internal.relay.Relays;
@@ -35,6 +36,9 @@
     /** How often waiting requests are looked at, in milliseconds. */
     private static final long POOL_TICK_MILLIS = 10;
 
+    /** How often it is looked whether other instances are to be told, in milliseconds. */
+    private static final long PEER_TICK_MILLIS = 50;
+
     /** How often silent streams and idle connections are looked for, in milliseconds. */
     private static final long SWEEP_MILLIS = 200;
 
@@ -54,6 +58,7 @@
     private final Pools mPools;
     private final UpstreamDirectory mDirectory = new UpstreamDirectory();
     private final CallerServer mCallers;
+    private final PeerSocket mPeers;
     private final Connector mConnector = new Connector(mGroup);
     private final Dialect mDialect;
     private final CountDownLatch mStopped = new CountDownLatch(1);
@@ -89,6 +94,7 @@
                         mRelays::carryOut);
         mRelays.pools(mPools);
         mCallers = new CallerServer(mGroup, mRelays, log, clockMillis);
+        mPeers = new PeerSocket(mGroup, settings, mPools, log, clockMillis);
     }
 
     /**
@@ -101,7 +107,10 @@
         new ControlServer(mGroup, Map.of(mSettings.readinessPath(), this::readiness))
                 .listen(mSettings.readiness());
         new ControlServer(mGroup, Map.of("/metrics", this::metrics)).listen(mSettings.control());
+        mPeers.listen();
         mLoop.execute(this::follow);
+        mLoop.scheduleWithFixedDelay(
+                this::peerTick, PEER_TICK_MILLIS, PEER_TICK_MILLIS, TimeUnit.MILLISECONDS);
         mLoop.scheduleWithFixedDelay(
                 this::poolTick, POOL_TICK_MILLIS, POOL_TICK_MILLIS, TimeUnit.MILLISECONDS);
         mLoop.scheduleWithFixedDelay(
@@ -157,6 +166,10 @@
                 });
     }
 
+    private void peerTick() {
+        guarded("peers", () -> mPeers.tick(mClockMillis.getAsLong()));
+    }
+
     private void sweep() {
         guarded(
                 "sweep",
@@ -200,6 +213,7 @@
         long leftMillis = mStopDeadlineMillis - nowMillis;
         if (mSettings.stopMillis() - leftMillis > LEAVE_MILLIS) {
             mCallers.closeGradually();
+            mRelays.stopping();
         }
         boolean idle = mCallers.closing() && mCallers.connections() == 0;
         if (idle || leftMillis < STOP_MARGIN_MILLIS) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -245,7 +245,7 @@
     }
 
     private void setConnection(HttpHeaders headers) {
-        if (!mKeepAlive || mServer.closing()) {
+        if (!mKeepAlive || mServer.leaving()) {
             mKeepAlive = false;
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -256,7 +256,7 @@
         mRelay = null;
         mHead = null;
         mSinceMillis = mServer.nowMillis();
-        if (!mKeepAlive) {
+        if (!mKeepAlive || mServer.closing()) {
             mClosing = true;
             dropAhead();
             mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
@@ -33,6 +33,7 @@
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private CallerLimits mLimits = CallerLimits.INITIAL;
     private Channel mChannel;
+    private boolean mLeaving;
     private boolean mClosing;
 
     /** Creates a server that does not listen yet. */
@@ -81,6 +82,11 @@
         mLimits = limits;
     }
 
+    /** Asks callers to come elsewhere with their next request. */
+    public void askToLeave() {
+        mLeaving = true;
+    }
+
     /** Ends connections after their current answer, and idle ones at the next sweep. */
     public void closeGradually() {
         mClosing = true;
@@ -112,6 +118,10 @@
         return mClosing;
     }
 
+    boolean leaving() {
+        return mLeaving;
+    }
+
     Relays relays() {
         return mRelays;
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -9,6 +9,7 @@
 import org.magnoliapick.gateway.internal.http.Connector;
 import org.magnoliapick.gateway.internal.http.ServerConnections;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.pool.InstanceReport;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.pool.PoolAction;
 import org.magnoliapick.pool.PoolJob;
@@ -107,6 +108,11 @@
         return mPools.values().stream().mapToInt(PoolScheduler::waiting).sum();
     }
 
+    /** Takes what another instance told. */
+    public void peer(InstanceReport report, long nowMillis) {
+        report.pools().forEach(use -> pool(use.service()).peer(report.instance(), use, nowMillis));
+    }
+
     /** Returns the pools by their services' names. */
     public Map<String, PoolScheduler> pools() {
         return mPools;
