Trial: bound reading ahead by time, refuse by expected wait, tell returns from new callers

Change: an engine may have 80 ms to read ahead whatever the objective; refusals by expected wait; Retry-After from queue and share; returns recognised by the time they have left.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Placing.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Placing.java
@@ -15,8 +15,11 @@
     /** The most of an engine's memory that running requests may come to fill. */
     private static final double MEMORY_SHARE = 0.9;
 
-    /** The part of a request's objective that reading ahead of it and its own may take. */
-    private static final double READING_SHARE = 0.5;
+    /**
+     * How long an engine may have to read before it gets to a request, in milliseconds: as much as
+     * keeps it busy until the next report of the others, the rest waits here in order.
+     */
+    private static final double AHEAD_MILLIS = 80;
 
     /** What leaving the own failure domain costs, in milliseconds of waiting. */
     private static final double OTHER_DOMAIN_MILLIS = 25;
@@ -36,19 +39,17 @@
         PoolJob job = weighing.job();
         UpstreamLoad load = weighing.load();
         long newTokens = weighing.newTokens();
-        long readingTokens = load.readingTokens(nowMillis);
         boolean slotsLeft = load.running(nowMillis) < Math.max(1, engine.slots() * SLOTS_SHARE);
         boolean memoryLeft =
                 load.memoryTokens(nowMillis) == 0
                         || load.memoryTokens(nowMillis) + memoryTokens(job)
                                 <= engine.memoryTokens() * MEMORY_SHARE;
-        long firstMillis = load.firstEventMillis(newTokens, nowMillis);
-        long readingMillis = (long) (job.request().route().objectiveMillis() * READING_SHARE);
-        boolean soon = readingTokens == 0 || firstMillis <= readingMillis;
+        boolean soon = load.aheadMillis(nowMillis) <= AHEAD_MILLIS;
         if (!slotsLeft || !memoryLeft || !soon) {
             return Optional.empty();
         }
         double readMillis = newTokens / load.tokensPerMilli();
+        long firstMillis = load.firstEventMillis(newTokens, nowMillis);
         double cost = firstMillis + readMillis + common(load, weighing.domain());
         return Optional.of(new Choice(load, newTokens, cost));
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,6 +23,9 @@
     /** The part of its objective that a request may wait before it is refused as too late. */
     private static final double FREE_WAIT_SHARE = 0.125;
 
+    /** The part of its time that an engine reads prompts when it is full. */
+    private static final double READING_SHARE = 0.7;
+
     private final PoolSettings mSettings;
     private final ServedWindow mServed;
     private final Map<UpstreamId, UpstreamLoad> mLoads = new HashMap<>();
@@ -69,7 +71,7 @@
         mLoads.forEach(
                 (id, load) -> load.peer(instance, Optional.ofNullable(uses.get(id)), nowMillis));
         mServed.peer(instance, use.servedTokens(), nowMillis);
-        mLevels.peer(instance, use.waitingLevelTokens(), nowMillis);
+        mLevels.peer(instance, use, nowMillis);
     }
 
     /** Returns this instance's own use, to tell the others. */
@@ -82,13 +84,19 @@
                 mService.name(),
                 uses,
                 mServed.own(nowMillis),
+                mWaiting.tokens(),
                 mWaiting.leastServed(mServed, nowMillis));
     }
 
     /** Takes a request; returns what is decided now, about it and about others. */
     public List<PoolAction> submit(PoolJob job, long nowMillis) {
         if (mWaiting.size() >= mSettings.maxWaiting()) {
-            return List.of(refuse(job, ErrorKind.WORKSPACE_QUEUE_FULL, PoolCause.QUEUE_FULL));
+            return List.of(
+                    refuse(
+                            job,
+                            ErrorKind.WORKSPACE_QUEUE_FULL,
+                            PoolCause.QUEUE_FULL,
+                            nowMillis));
         }
         mWaiting.add(job);
         return tick(nowMillis);
@@ -140,22 +148,43 @@
     public List<PoolAction> tick(long nowMillis) {
         List<PoolAction> actions = new ArrayList<>();
         boolean room = true;
-        Iterator<PoolJob> order = mWaiting.order(mServed, nowMillis).iterator();
-        while (order.hasNext()) {
-            PoolJob job = order.next();
+        long tokensBefore = 0;
+        for (PoolJob job : mWaiting.order(mServed, nowMillis)) {
             room = room && (job.underWay() || isTurn(job, nowMillis));
             Optional<PoolAction> action = room ? place(job, nowMillis) : Optional.empty();
             room = action.isPresent();
-            action.or(() -> refuseLate(job, nowMillis))
+            long waitMillis = waitMillis(tokensBefore, nowMillis);
+            action.or(() -> refuseLate(job, waitMillis, nowMillis))
                     .ifPresent(
                             each -> {
                                 mWaiting.remove(job);
                                 actions.add(each);
                             });
+            if (action.isEmpty()) {
+                tokensBefore += job.request().prompt().promptTokens();
+            }
         }
         return actions;
     }
 
+    /**
+     * Returns how long it takes until a request that waits here gets its turn, in milliseconds.
+     *
+     * @param tokensBefore tokens of the requests that go before it here; the others' queues are
+     *     taken to hold as much before it as this one, in proportion
+     */
+    private long waitMillis(long tokensBefore, long nowMillis) {
+        double here = Math.max(1, mWaiting.tokens());
+        double fleet = (here + mLevels.waitingTokens(nowMillis)) / here;
+        double perMilli = 0;
+        for (UpstreamLoad load : mLoads.values()) {
+            perMilli += load.tokensPerMilli() * READING_SHARE;
+        }
+        return mService.engine().isEmpty() || perMilli == 0
+                ? 0
+                : (long) (tokensBefore * fleet / perMilli);
+    }
+
     /** Returns whether no other instance holds a request of a workspace that was served less. */
     private boolean isTurn(PoolJob job, long nowMillis) {
         return mServed.of(job.account(), nowMillis) <= mLevels.leastTokens(nowMillis);
@@ -210,27 +239,47 @@
         return new PoolAction.Start(job, ticket, cause);
     }
 
-    private Optional<PoolAction> refuseLate(PoolJob job, long nowMillis) {
+    private Optional<PoolAction> refuseLate(PoolJob job, long waitMillis, long nowMillis) {
         long freeWait = (long) (job.request().route().objectiveMillis() * FREE_WAIT_SHARE);
         if (job.underWay() || nowMillis - job.submittedMillis() < freeWait) {
             return Optional.empty();
         }
         if (mLoads.isEmpty()) {
-            return Optional.of(refuse(job, ErrorKind.NO_UPSTREAM, PoolCause.NO_UPSTREAM));
+            return Optional.of(
+                    refuse(job, ErrorKind.NO_UPSTREAM, PoolCause.NO_UPSTREAM, nowMillis));
         }
         long firstMillis = Long.MAX_VALUE;
         for (UpstreamLoad load : mLoads.values()) {
             long newTokens = weigh(job, load).newTokens();
             firstMillis = Math.min(firstMillis, load.firstEventMillis(newTokens, nowMillis));
         }
-        return nowMillis + firstMillis > job.request().onTimeMillis()
-                ? Optional.of(refuse(job, ErrorKind.WORKSPACE_QUEUE_FULL, PoolCause.TOO_LATE))
+        return nowMillis + waitMillis + firstMillis > job.request().onTimeMillis()
+                ? Optional.of(
+                        refuse(
+                                job,
+                                ErrorKind.WORKSPACE_QUEUE_FULL,
+                                PoolCause.TOO_LATE,
+                                nowMillis))
                 : Optional.empty();
     }
 
-    private PoolAction refuse(PoolJob job, ErrorKind kind, PoolCause cause) {
-        long waitMillis = Math.max(200, job.request().route().objectiveMillis());
-        return new PoolAction.Refuse(job, kind, waitMillis, cause);
+    private PoolAction refuse(PoolJob job, ErrorKind kind, PoolCause cause, long nowMillis) {
+        return new PoolAction.Refuse(job, kind, retryAfterMillis(job, nowMillis), cause);
+    }
+
+    /**
+     * Returns when a refused caller should come back: once what waits now is done, and its workspace
+     * is no further ahead of those that wait; spread, so that not all come together.
+     */
+    private long retryAfterMillis(PoolJob job, long nowMillis) {
+        double served = mServed.of(job.account(), nowMillis);
+        double level = Math.max(1, Math.min(served, mLevels.leastTokens(nowMillis)));
+        double aheadMillis =
+                served <= level ? 0 : mSettings.shareWindowMillis() * Math.log(served / level);
+        double queueMillis = waitMillis(mWaiting.tokens(), nowMillis);
+        double leastMillis = job.request().route().objectiveMillis();
+        double spread = 0.75 + 0.5 * ((job.request().id().hashCode() & 0xff) / 256.0);
+        return (long) (spread * Math.max(leastMillis, Math.max(aheadMillis, queueMillis)));
     }
 
     private Optional<UpstreamLoad> load(Ticket ticket) {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolUse.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolUse.java
@@ -11,6 +11,7 @@
  * @param service the service
  * @param uses its use of each upstream at which it has anything
  * @param servedTokens tokens that it served each workspace, decayed over the share window
+ * @param waitingTokens tokens of the requests that wait at it
  * @param waitingLevelTokens what the least served workspace that waits at it was served over the
  *     fleet; absent if none waits
  */
@@ -18,6 +19,7 @@
         String service,
         List<UpstreamUse> uses,
         Map<WorkspaceId, Long> servedTokens,
+        long waitingTokens,
         OptionalLong waitingLevelTokens) {
     /** Copies the collections. */
     public PoolUse {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -123,12 +123,19 @@
         return running;
     }
 
+    /** Returns the tokens that the upstream still has to read, as far as can be known now. */
     long readingTokens(long nowMillis) {
-        long tokens = mReadingTokens;
+        double peerTokens = 0;
+        double oldestMillis = 0;
         for (PeerUse peer : peers(nowMillis)) {
-            tokens += peer.use().readingTokens();
+            if (peer.use().readingTokens() > 0) {
+                peerTokens += peer.use().readingTokens();
+                oldestMillis = Math.max(oldestMillis, nowMillis - peer.atMillis());
+            }
         }
-        return tokens;
+        // Since the others told of theirs, the upstream went on reading.
+        double read = oldestMillis * mTokensPerMilli;
+        return mReadingTokens + (long) Math.max(0, peerTokens - read);
     }
 
     long memoryTokens(long nowMillis) {
@@ -145,6 +152,11 @@
         return FIRST_EVENT_BASE_MILLIS + (long) reading;
     }
 
+    /** Returns how long the upstream reads before it gets to a prompt sent now. */
+    double aheadMillis(long nowMillis) {
+        return readingTokens(nowMillis) / mTokensPerMilli;
+    }
+
     double tokensPerMilli() {
         return mTokensPerMilli;
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
@@ -24,6 +24,11 @@
         return mJobs.size();
     }
 
+    /** Returns the prompt tokens of all that wait. */
+    long tokens() {
+        return mJobs.stream().mapToLong(job -> job.request().prompt().promptTokens()).sum();
+    }
+
     /** Returns what the least served workspace that waits was served, in tokens. */
     OptionalLong leastServed(ServedWindow served, long nowMillis) {
         return mJobs.stream()
@@ -31,7 +36,7 @@
                 .min();
     }
 
-    /** Returns all in order: what is under way, then by rank, the least served workspace first. */
+    /** Returns all in order: what is under way, then by rank, the least served workspace first, returns first. */
     List<PoolJob> order(ServedWindow served, long nowMillis) {
         List<PoolJob> order = new ArrayList<>(mJobs);
         if (order.size() > 1) {
@@ -45,6 +50,7 @@
                             .reversed()
                             .thenComparing(PoolJob::rank)
                             .thenComparing(job -> tokens.get(job.account()))
+                            .thenComparing(job -> !job.request().returned())
                             .thenComparing(PoolJob::submittedMillis));
         }
         return order;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingLevels.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingLevels.java
@@ -15,9 +15,11 @@
 
     private final Map<InstanceId, Level> mLevels = new HashMap<>();
 
-    void peer(InstanceId instance, OptionalLong tokens, long nowMillis) {
+    void peer(InstanceId instance, PoolUse use, long nowMillis) {
+        OptionalLong tokens = use.waitingLevelTokens();
         if (tokens.isPresent()) {
-            mLevels.put(instance, new Level(tokens.getAsLong(), nowMillis));
+            Level level = new Level(tokens.getAsLong(), use.waitingTokens(), nowMillis);
+            mLevels.put(instance, level);
         } else {
             mLevels.remove(instance);
         }
@@ -25,12 +27,22 @@
 
     /** Returns up to which served tokens a workspace may start more. */
     double leastTokens(long nowMillis) {
-        mLevels.values().removeIf(level -> nowMillis - level.atMillis() > LEVEL_MILLIS);
+        dropOld(nowMillis);
         return mLevels.values().stream()
                 .mapToDouble(level -> level.tokens() + LEAD_TOKENS)
                 .min()
                 .orElse(Double.POSITIVE_INFINITY);
     }
 
-    private record Level(long tokens, long atMillis) {}
+    /** Returns the tokens of all requests that wait at other instances. */
+    long waitingTokens(long nowMillis) {
+        dropOld(nowMillis);
+        return mLevels.values().stream().mapToLong(Level::waitingTokens).sum();
+    }
+
+    private void dropOld(long nowMillis) {
+        mLevels.values().removeIf(level -> nowMillis - level.atMillis() > LEVEL_MILLIS);
+    }
+
+    private record Level(long tokens, long waitingTokens, long atMillis) {}
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayRequest.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayRequest.java
@@ -15,6 +15,7 @@
  * @param prompt its size, where it is for a model engine
  * @param resumeAfter the last event that its caller has, if it asks to resume a stream
  * @param arrivedMillis when its head arrived
+ * @param firstAskedMillis when its caller asked first; earlier than it arrived for a return
  * @param deadlineMillis when its caller stops waiting
  * @param configVersion the version of the configuration that it is served under
  */
@@ -26,6 +27,7 @@
         Prompt prompt,
         OptionalLong resumeAfter,
         long arrivedMillis,
+        long firstAskedMillis,
         long deadlineMillis,
         long configVersion) {
 
@@ -36,6 +38,11 @@
 
     /** Returns when its answer, or of streams the first event, has to be there to be on time. */
     public long onTimeMillis() {
-        return arrivedMillis + route.objectiveMillis();
+        return firstAskedMillis + route.objectiveMillis();
+    }
+
+    /** Returns whether its caller asked before and was not served. */
+    public boolean returned() {
+        return firstAskedMillis < arrivedMillis;
     }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -14,6 +14,7 @@
 import org.magnoliapick.lib.WorkspaceId;
 import org.magnoliapick.pool.PoolAction;
 import org.magnoliapick.pool.PoolJob;
+import org.magnoliapick.relay.CallerPatience;
 import org.magnoliapick.relay.RelayRequest;
 import org.magnoliapick.route.Route;
 import org.magnoliapick.route.TrafficConfig;
@@ -27,6 +28,7 @@
     private final RelayContext mContext;
     private final Map<PoolJob, Relay> mByJob = new IdentityHashMap<>();
     private final List<Relay> mUnderWay = new ArrayList<>();
+    private final CallerPatience mPatience = new CallerPatience();
     private Pools mPools;
     private boolean mStopping;
 
@@ -114,6 +116,7 @@
                         call.prompt(),
                         call.resumeAfter(),
                         arrivedMillis,
+                        arrivedMillis - mPatience.elapsedMillis(route.get().name(), call.leftMillis()),
                         arrivedMillis + call.leftMillis().orElse(timeoutMillis),
                         config.version());
         mContext.budget().counted(service.get(), mContext.nowMillis());
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
@@ -76,7 +76,7 @@
                 .forEach(
                         (workspace, tokens) ->
                                 workspaces.add(new UseWorkspace(workspace.value(), tokens)));
-        UsePool pool = new UsePool(use.service(), upstreams, workspaces);
+        UsePool pool = new UsePool(use.service(), upstreams, workspaces, use.waitingTokens());
         use.waitingLevelTokens().ifPresent(pool::setWaitingLevelTokens);
         return pool;
     }
@@ -115,6 +115,7 @@
                 pool.getServiceName(),
                 uses,
                 served,
+                pool.getWaitingTokens(),
                 pool.isSetWaitingLevelTokens()
                         ? OptionalLong.of(pool.getWaitingLevelTokens())
                         : OptionalLong.empty());
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePool.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePool.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField UPSTREAMS_FIELD_DESC = new org.apache.thrift.protocol.TField("upstreams", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField WORKSPACES_FIELD_DESC = new org.apache.thrift.protocol.TField("workspaces", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField WAITING_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("waitingTokens", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField WAITING_LEVEL_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("waitingLevelTokens", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UsePoolStandardSchemeFactory();
@@ -24,6 +25,10 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<UseUpstream> upstreams; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<UseWorkspace> workspaces; // required
+  /**
+   * Tokens of the requests that wait at the sender.
+   */
+  public long waitingTokens; // required
   /**
    * What the least served workspace that waits at the sender was served; absent if none waits.
    */
@@ -34,6 +39,10 @@
     SERVICE_NAME((short)1, "serviceName"),
     UPSTREAMS((short)2, "upstreams"),
     WORKSPACES((short)3, "workspaces"),
+    /**
+     * Tokens of the requests that wait at the sender.
+     */
+    WAITING_TOKENS((short)5, "waitingTokens"),
     /**
      * What the least served workspace that waits at the sender was served; absent if none waits.
      */
@@ -59,6 +68,8 @@
           return UPSTREAMS;
         case 3: // WORKSPACES
           return WORKSPACES;
+        case 5: // WAITING_TOKENS
+          return WAITING_TOKENS;
         case 4: // WAITING_LEVEL_TOKENS
           return WAITING_LEVEL_TOKENS;
         default:
@@ -104,7 +115,8 @@
   }
 
   // isset id assignments
-  private static final int __WAITINGLEVELTOKENS_ISSET_ID = 0;
+  private static final int __WAITINGTOKENS_ISSET_ID = 0;
+  private static final int __WAITINGLEVELTOKENS_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.WAITING_LEVEL_TOKENS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
@@ -118,6 +130,8 @@
     tmpMap.put(_Fields.WORKSPACES, new org.apache.thrift.meta_data.FieldMetaData("workspaces", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseWorkspace.class))));
+    tmpMap.put(_Fields.WAITING_TOKENS, new org.apache.thrift.meta_data.FieldMetaData("waitingTokens", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.WAITING_LEVEL_TOKENS, new org.apache.thrift.meta_data.FieldMetaData("waitingLevelTokens", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
@@ -130,12 +144,15 @@
   public UsePool(
     java.lang.String serviceName,
     java.util.List<UseUpstream> upstreams,
-    java.util.List<UseWorkspace> workspaces)
+    java.util.List<UseWorkspace> workspaces,
+    long waitingTokens)
   {
     this();
     this.serviceName = serviceName;
     this.upstreams = upstreams;
     this.workspaces = workspaces;
+    this.waitingTokens = waitingTokens;
+    setWaitingTokensIsSet(true);
   }
 
   /**
@@ -160,6 +177,7 @@
       }
       this.workspaces = __this__workspaces;
     }
+    this.waitingTokens = other.waitingTokens;
     this.waitingLevelTokens = other.waitingLevelTokens;
   }
 
@@ -173,6 +191,8 @@
     this.serviceName = null;
     this.upstreams = null;
     this.workspaces = null;
+    setWaitingTokensIsSet(false);
+    this.waitingTokens = 0;
     setWaitingLevelTokensIsSet(false);
     this.waitingLevelTokens = 0;
   }
@@ -284,6 +304,35 @@
     }
   }
 
+  /**
+   * Tokens of the requests that wait at the sender.
+   */
+  public long getWaitingTokens() {
+    return this.waitingTokens;
+  }
+
+  /**
+   * Tokens of the requests that wait at the sender.
+   */
+  public UsePool setWaitingTokens(long waitingTokens) {
+    this.waitingTokens = waitingTokens;
+    setWaitingTokensIsSet(true);
+    return this;
+  }
+
+  public void unsetWaitingTokens() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WAITINGTOKENS_ISSET_ID);
+  }
+
+  /** Returns true if field waitingTokens is set (has been assigned a value) and false otherwise */
+  public boolean isSetWaitingTokens() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WAITINGTOKENS_ISSET_ID);
+  }
+
+  public void setWaitingTokensIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WAITINGTOKENS_ISSET_ID, value);
+  }
+
   /**
    * What the least served workspace that waits at the sender was served; absent if none waits.
    */
@@ -340,6 +389,14 @@
       }
       break;
 
+    case WAITING_TOKENS:
+      if (value == null) {
+        unsetWaitingTokens();
+      } else {
+        setWaitingTokens((java.lang.Long)value);
+      }
+      break;
+
     case WAITING_LEVEL_TOKENS:
       if (value == null) {
         unsetWaitingLevelTokens();
@@ -364,6 +421,9 @@
     case WORKSPACES:
       return getWorkspaces();
 
+    case WAITING_TOKENS:
+      return getWaitingTokens();
+
     case WAITING_LEVEL_TOKENS:
       return getWaitingLevelTokens();
 
@@ -385,6 +445,8 @@
       return isSetUpstreams();
     case WORKSPACES:
       return isSetWorkspaces();
+    case WAITING_TOKENS:
+      return isSetWaitingTokens();
     case WAITING_LEVEL_TOKENS:
       return isSetWaitingLevelTokens();
     }
@@ -431,6 +493,15 @@
         return false;
     }
 
+    boolean this_present_waitingTokens = true;
+    boolean that_present_waitingTokens = true;
+    if (this_present_waitingTokens || that_present_waitingTokens) {
+      if (!(this_present_waitingTokens && that_present_waitingTokens))
+        return false;
+      if (this.waitingTokens != that.waitingTokens)
+        return false;
+    }
+
     boolean this_present_waitingLevelTokens = true && this.isSetWaitingLevelTokens();
     boolean that_present_waitingLevelTokens = true && that.isSetWaitingLevelTokens();
     if (this_present_waitingLevelTokens || that_present_waitingLevelTokens) {
@@ -459,6 +530,8 @@
     if (isSetWorkspaces())
       hashCode = hashCode * 8191 + workspaces.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(waitingTokens);
+
     hashCode = hashCode * 8191 + ((isSetWaitingLevelTokens()) ? 131071 : 524287);
     if (isSetWaitingLevelTokens())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(waitingLevelTokens);
@@ -504,6 +577,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetWaitingTokens(), other.isSetWaitingTokens());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWaitingTokens()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.waitingTokens, other.waitingTokens);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetWaitingLevelTokens(), other.isSetWaitingLevelTokens());
     if (lastComparison != 0) {
       return lastComparison;
@@ -561,6 +644,10 @@
       sb.append(this.workspaces);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("waitingTokens:");
+    sb.append(this.waitingTokens);
+    first = false;
     if (isSetWaitingLevelTokens()) {
       if (!first) sb.append(", ");
       sb.append("waitingLevelTokens:");
@@ -582,6 +669,7 @@
     if (workspaces == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'workspaces' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'waitingTokens' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -669,6 +757,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // WAITING_TOKENS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.waitingTokens = iprot.readI64();
+              struct.setWaitingTokensIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           case 4: // WAITING_LEVEL_TOKENS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.waitingLevelTokens = iprot.readI64();
@@ -685,6 +781,9 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetWaitingTokens()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'waitingTokens' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -727,6 +826,9 @@
         oprot.writeI64(struct.waitingLevelTokens);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(WAITING_TOKENS_FIELD_DESC);
+      oprot.writeI64(struct.waitingTokens);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -760,6 +862,7 @@
           _iter9.write(oprot);
         }
       }
+      oprot.writeI64(struct.waitingTokens);
       java.util.BitSet optionals = new java.util.BitSet();
       if (struct.isSetWaitingLevelTokens()) {
         optionals.set(0);
@@ -799,6 +902,8 @@
         }
       }
       struct.setWorkspacesIsSet(true);
+      struct.waitingTokens = iprot.readI64();
+      struct.setWaitingTokensIsSet(true);
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         struct.waitingLevelTokens = iprot.readI64();
--- a/magnoliapick-rpc/src/main/thrift/use.thrift
+++ b/magnoliapick-rpc/src/main/thrift/use.thrift
@@ -20,6 +20,8 @@
   1: required string serviceName
   2: required list<UseUpstream> upstreams
   3: required list<UseWorkspace> workspaces
+  /** Tokens of the requests that wait at the sender. */
+  5: required i64 waitingTokens
   /** What the least served workspace that waits at the sender was served; absent if none waits. */
   4: optional i64 waitingLevelTokens
 }
