--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -123,19 +123,13 @@
         return running;
     }
 
-    /** Returns the tokens that the upstream still has to read, as far as can be known now. */
+    /** Returns the tokens that the upstream still has to read, as far as is known. */
     long readingTokens(long nowMillis) {
-        double peerTokens = 0;
-        double oldestMillis = 0;
+        long tokens = mReadingTokens;
         for (PeerUse peer : peers(nowMillis)) {
-            if (peer.use().readingTokens() > 0) {
-                peerTokens += peer.use().readingTokens();
-                oldestMillis = Math.max(oldestMillis, nowMillis - peer.atMillis());
-            }
+            tokens += peer.use().readingTokens();
         }
-        // Since the others told of theirs, the upstream went on reading.
-        double read = oldestMillis * mTokensPerMilli;
-        return mReadingTokens + (long) Math.max(0, peerTokens - read);
+        return tokens;
     }
 
     long memoryTokens(long nowMillis) {
