--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.pool.InstanceReport;
 
 /**
@@ -36,9 +38,17 @@
     /** How often the list of known addresses is told to one instance, in milliseconds. */
     private static final long KNOWN_MILLIS = 1_000;
 
+    /** After how long without a word an instance is not taken for a dispatcher. */
+    private static final long DISPATCHER_MILLIS = 700;
+
+    /** The largest fleet that has one dispatcher a service. */
+    private static final int ONE_DISPATCHER_INSTANCES = 16;
+
     private final FailureDomain mDomain;
     private final String mOwnAddress;
     private final Map<String, Peer> mPeers = new HashMap<>();
+    private final Map<String, InstanceId> mDispatchers = new HashMap<>();
+    private Set<InstanceId> mCandidates = Set.of();
     private long mKnownSentMillis;
 
     /**
@@ -116,6 +126,47 @@
                 .toList();
     }
 
+    /**
+     * Returns the instance that decides for a service: all instances that hear each other name the
+     * same. In a small fleet it is one for all, in a large one there is one a failure domain.
+     */
+    public InstanceId dispatcher(InstanceId self, String service, long nowMillis) {
+        List<InstanceId> all = new ArrayList<>(List.of(self));
+        List<InstanceId> near = new ArrayList<>(List.of(self));
+        for (Peer peer : mPeers.values()) {
+            if (peer.mReport.isPresent() && silentMillis(peer, nowMillis) <= DISPATCHER_MILLIS) {
+                all.add(peer.mReport.get().instance());
+                if (peer.mReport.get().domain().equals(mDomain)) {
+                    near.add(peer.mReport.get().instance());
+                }
+            }
+        }
+        List<InstanceId> candidates = all.size() <= ONE_DISPATCHER_INSTANCES ? all : near;
+        Set<InstanceId> key = Set.copyOf(candidates);
+        if (!key.equals(mCandidates)) {
+            mCandidates = key;
+            mDispatchers.clear();
+        }
+        return mDispatchers.computeIfAbsent(
+                service, each -> Rendezvous.top(each, candidates, 1).get(0));
+    }
+
+    /** Returns the address of an instance that was heard. */
+    public Optional<String> address(InstanceId instance) {
+        return mPeers.values().stream()
+                .flatMap(peer -> peer.mReport.stream())
+                .filter(report -> report.instance().equals(instance))
+                .map(InstanceReport::address)
+                .findFirst();
+    }
+
+    /** Returns the instance that was heard from an address. */
+    public Optional<InstanceId> instance(String address) {
+        return Optional.ofNullable(mPeers.get(address))
+                .flatMap(peer -> peer.mReport)
+                .map(InstanceReport::instance);
+    }
+
     /** Returns how many other instances were heard of late. */
     public int live(long nowMillis) {
         return (int)
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstancePacket.java
@@ -0,0 +1,28 @@
+package org.magnoliapick.pool;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliapick.lib.InstanceId;
+
+/**
+ * What one instance sends another in one datagram.
+ *
+ * @param from the sender
+ * @param address where the sender listens
+ * @param report the sender's use, if it is told now
+ * @param grantsTaken by service the highest grant of the receiver's that the report holds
+ * @param messages what is said about single requests
+ */
+public record InstancePacket(
+        InstanceId from,
+        String address,
+        Optional<InstanceReport> report,
+        Map<String, Long> grantsTaken,
+        List<PoolMessage> messages) {
+    /** Copies the collections. */
+    public InstancePacket {
+        grantsTaken = Map.copyOf(grantsTaken);
+        messages = List.copyOf(messages);
+    }
+}
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Placing.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Placing.java
@@ -10,7 +10,7 @@
     /**
      * The most of an engine's slots that are filled from here, so that its own queue stays empty.
      */
-    private static final double SLOTS_SHARE = 0.95;
+    private static final double SLOTS_SHARE = 0.7;
 
     /** The most of an engine's memory that running requests may come to fill. */
     private static final double MEMORY_SHARE = 0.9;
@@ -48,7 +48,7 @@
         if (!slotsLeft || !memoryLeft || !soon) {
             return Optional.empty();
         }
-        double readMillis = newTokens / load.tokensPerMilli();
+        double readMillis = newTokens / load.tokensPerMilli(nowMillis);
         long firstMillis = load.firstEventMillis(newTokens, nowMillis);
         double cost = firstMillis + readMillis + common(load, weighing.domain());
         return Optional.of(new Choice(load, newTokens, cost));
@@ -67,7 +67,7 @@
 
     /** Returns how much memory a request may come to fill, in tokens. */
     static long memoryTokens(PoolJob job) {
-        Prompt prompt = job.request().prompt();
+        Prompt prompt = job.prompt();
         return prompt.promptTokens() + prompt.maxOutputTokens();
     }
 
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolDecision.java
@@ -0,0 +1,29 @@
+package org.magnoliapick.pool;
+
+import org.magnoliapick.lib.UpstreamId;
+
+/** What a dispatcher decided about another instance's question. */
+public sealed interface PoolDecision {
+    /** Returns the number of the question. */
+    long number();
+
+    /** The request waits in order. */
+    record Queued(long number) implements PoolDecision {}
+
+    /**
+     * Send the request.
+     *
+     * @param grant the number of the grant, by which the asker's reports acknowledge it
+     */
+    record Start(
+            long number,
+            long grant,
+            UpstreamId upstream,
+            long newTokens,
+            long aheadTokens,
+            PoolCause cause)
+            implements PoolDecision {}
+
+    /** Refuse the request; it has not run. */
+    record Refuse(long number, PoolCause cause, long retryAfterMillis) implements PoolDecision {}
+}
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolJob.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolJob.java
@@ -1,35 +1,78 @@
 package org.magnoliapick.pool;
 
+import java.util.Optional;
 import java.util.Set;
+import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.RelayRequest;
 
 /**
  * A request that asks for an upstream.
  *
- * @param request the request
+ * @param id the caller's identifier of the request
+ * @param service the service that it goes to
+ * @param account whose share it uses
+ * @param prompt its size
+ * @param objectiveMillis how long its answer may take to be on time
+ * @param onTimeMillis until when its answer, or of streams the first event, is on time
+ * @param returned whether its caller asked before and was not served
  * @param excluded upstreams that it does not go to again while there are others
+ * @param lost upstreams that broke its last attempt
  * @param underWay whether its answer has begun, so that it goes before all that only wait
  * @param rank its workspace's and route's rank, 0 is the highest
  * @param submittedMillis since when it has been asking
+ * @param asker the instance that asks; absent for this one
+ * @param number the number of the question, unique among the asker's of all its lives
  */
 public record PoolJob(
-        RelayRequest request,
+        String id,
+        String service,
+        WorkspaceId account,
+        Prompt prompt,
+        long objectiveMillis,
+        long onTimeMillis,
+        boolean returned,
         Set<UpstreamId> excluded,
+        Set<UpstreamId> lost,
         boolean underWay,
         int rank,
-        long submittedMillis) {
+        long submittedMillis,
+        Optional<InstanceId> asker,
+        long number) {
     /** The account of requests without a workspace. */
     private static final WorkspaceId OPEN = new WorkspaceId("-");
 
-    /** Copies the excluded upstreams. */
+    /** Copies the sets. */
     public PoolJob {
         excluded = Set.copyOf(excluded);
+        lost = Set.copyOf(lost);
     }
 
-    /** Returns whose share it uses. */
-    WorkspaceId account() {
-        return request.workspace().orElse(OPEN);
+    /** Returns the question of a request at this instance. */
+    public static PoolJob of(
+            RelayRequest request,
+            Set<UpstreamId> excluded,
+            Set<UpstreamId> lost,
+            boolean underWay,
+            int rank,
+            long number,
+            long nowMillis) {
+        return new PoolJob(
+                request.id(),
+                request.service(),
+                request.workspace().orElse(OPEN),
+                request.prompt(),
+                request.route().objectiveMillis(),
+                request.onTimeMillis(),
+                request.returned(),
+                excluded,
+                lost,
+                underWay,
+                rank,
+                nowMillis,
+                Optional.empty(),
+                number);
     }
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.relay.Prompt;
@@ -23,6 +22,9 @@
     /** The part of its objective that a request may wait before it is refused as too late. */
     private static final double FREE_WAIT_SHARE = 0.125;
 
+    /** How many requests that fit nowhere are passed over, such as those too large for now. */
+    private static final int MOST_PASSED_OVER = 3;
+
     /** The part of its time that an engine reads prompts when it is full. */
     private static final double READING_SHARE = 0.7;
 
@@ -33,6 +35,7 @@
     private final WaitingLevels mLevels = new WaitingLevels();
     private final HomeUpstreams mHomes = new HomeUpstreams();
     private ServiceSpec mService;
+    private long mGrants;
 
     /** Creates a pool without upstreams. */
     public PoolScheduler(ServiceSpec service, PoolSettings settings) {
@@ -92,16 +95,54 @@
     public List<PoolAction> submit(PoolJob job, long nowMillis) {
         if (mWaiting.size() >= mSettings.maxWaiting()) {
             return List.of(
-                    refuse(
-                            job,
-                            ErrorKind.WORKSPACE_QUEUE_FULL,
-                            PoolCause.QUEUE_FULL,
-                            nowMillis));
+                    refuse(job, PoolCause.QUEUE_FULL, nowMillis));
+        }
+        for (UpstreamId lost : job.lost()) {
+            UpstreamLoad load = mLoads.get(lost);
+            if (load != null && job.asker().isPresent()) {
+                load.health().lost(nowMillis);
+            }
         }
         mWaiting.add(job);
         return tick(nowMillis);
     }
 
+    /**
+     * Takes over what a dispatcher decided for a request of this instance; empty if the upstream is
+     * not known here.
+     */
+    public Optional<Ticket> adopt(PoolJob job, PoolDecision.Start start, long nowMillis) {
+        UpstreamLoad load = mLoads.get(start.upstream());
+        if (load == null) {
+            return Optional.empty();
+        }
+        Ticket ticket =
+                new Ticket(
+                        load.upstream(),
+                        job.account(),
+                        start.newTokens(),
+                        Placing.memoryTokens(job),
+                        start.aheadTokens(),
+                        nowMillis);
+        load.started(ticket, job.prompt().parts());
+        return Optional.of(ticket);
+    }
+
+    /** Notes that an instance's reports hold what it was granted up to a number. */
+    public void reported(InstanceId asker, long grant) {
+        mLoads.values().forEach(load -> load.reported(asker, grant));
+    }
+
+    /** Returns whether the service's upstreams are model engines. */
+    public boolean hasEngines() {
+        return mService.engine().isPresent();
+    }
+
+    /** Returns the question that waits here under an asker's number. */
+    public Optional<PoolJob> waiting(InstanceId asker, long number) {
+        return mWaiting.find(asker, number);
+    }
+
     /** Drops a waiting request whose caller left or whose time is over. */
     public void withdraw(PoolJob job) {
         mWaiting.remove(job);
@@ -136,35 +177,53 @@
             health.succeeded();
             return;
         }
-        switch (end.orElseThrow()) {
-            case NOT_SENT, LOST_BEFORE_HEAD, TIMEOUT, REFUSED -> health.lost(nowMillis);
-            case CUT, CROSSED, MALFORMED, FAILED -> health.failed();
-            case CANCELLED -> {}
-            default -> throw new IllegalStateException("No rule for " + end);
+        AttemptEnd failure = end.orElseThrow();
+        if (failure.loses()) {
+            health.lost(nowMillis);
+        } else if (failure != AttemptEnd.CANCELLED) {
+            health.failed();
         }
     }
 
     /** Starts what has room and refuses what will be too late. */
     public List<PoolAction> tick(long nowMillis) {
         List<PoolAction> actions = new ArrayList<>();
-        boolean room = true;
+        while (startNext(actions, nowMillis)) {
+            // Each start changes the order of what is left.
+        }
+        refuseLate(actions, nowMillis);
+        return actions;
+    }
+
+    private boolean startNext(List<PoolAction> actions, long nowMillis) {
+        int passedOver = 0;
+        for (PoolJob job : mWaiting.order(mServed, nowMillis)) {
+            if (passedOver > MOST_PASSED_OVER || !(job.underWay() || isTurn(job, nowMillis))) {
+                return false;
+            }
+            Optional<PoolAction> action = place(job, nowMillis);
+            if (action.isPresent()) {
+                mWaiting.remove(job);
+                actions.add(action.get());
+                return true;
+            }
+            passedOver++;
+        }
+        return false;
+    }
+
+    private void refuseLate(List<PoolAction> actions, long nowMillis) {
         long tokensBefore = 0;
         for (PoolJob job : mWaiting.order(mServed, nowMillis)) {
-            room = room && (job.underWay() || isTurn(job, nowMillis));
-            Optional<PoolAction> action = room ? place(job, nowMillis) : Optional.empty();
-            room = action.isPresent();
             long waitMillis = waitMillis(tokensBefore, nowMillis);
-            action.or(() -> refuseLate(job, waitMillis, nowMillis))
-                    .ifPresent(
-                            each -> {
-                                mWaiting.remove(job);
-                                actions.add(each);
-                            });
-            if (action.isEmpty()) {
-                tokensBefore += job.request().prompt().promptTokens();
+            Optional<PoolAction> action = refuseLate(job, waitMillis, nowMillis);
+            if (action.isPresent()) {
+                mWaiting.remove(job);
+                actions.add(action.get());
+            } else {
+                tokensBefore += job.prompt().promptTokens();
             }
         }
-        return actions;
     }
 
     /**
@@ -178,7 +237,7 @@
         double fleet = (here + mLevels.waitingTokens(nowMillis)) / here;
         double perMilli = 0;
         for (UpstreamLoad load : mLoads.values()) {
-            perMilli += load.tokensPerMilli() * READING_SHARE;
+            perMilli += load.tokensPerMilli(nowMillis) * READING_SHARE;
         }
         return mService.engine().isEmpty() || perMilli == 0
                 ? 0
@@ -214,7 +273,7 @@
     }
 
     private Weighing weigh(PoolJob job, UpstreamLoad load) {
-        Prompt prompt = job.request().prompt();
+        Prompt prompt = job.prompt();
         boolean home = mHomes.home(prompt.parts()).filter(load.upstream().id()::equals).isPresent();
         long newTokens = load.newTokens(prompt, home);
         return new Weighing(job, load, newTokens, mSettings.domain());
@@ -232,39 +291,39 @@
                         memoryTokens,
                         load.readingTokens(nowMillis),
                         nowMillis);
-        load.started(ticket, job.request().prompt().parts());
-        mServed.served(job.account(), job.request().prompt().shareTokens(), nowMillis);
+        if (job.asker().isPresent()) {
+            load.granted(job.asker().get(), ++mGrants, ticket, job.prompt().parts());
+        } else {
+            load.started(ticket, job.prompt().parts());
+        }
+        mServed.served(job.account(), job.prompt().shareTokens(), nowMillis);
         PoolCause cause =
                 job.submittedMillis() == nowMillis ? PoolCause.ROOM : PoolCause.ROOM_AFTER_WAIT;
-        return new PoolAction.Start(job, ticket, cause);
+        return new PoolAction.Start(job, ticket, mGrants, cause);
     }
 
     private Optional<PoolAction> refuseLate(PoolJob job, long waitMillis, long nowMillis) {
-        long freeWait = (long) (job.request().route().objectiveMillis() * FREE_WAIT_SHARE);
+        long freeWait = (long) (job.objectiveMillis() * FREE_WAIT_SHARE);
         if (job.underWay() || nowMillis - job.submittedMillis() < freeWait) {
             return Optional.empty();
         }
         if (mLoads.isEmpty()) {
             return Optional.of(
-                    refuse(job, ErrorKind.NO_UPSTREAM, PoolCause.NO_UPSTREAM, nowMillis));
+                    refuse(job, PoolCause.NO_UPSTREAM, nowMillis));
         }
         long firstMillis = Long.MAX_VALUE;
         for (UpstreamLoad load : mLoads.values()) {
             long newTokens = weigh(job, load).newTokens();
             firstMillis = Math.min(firstMillis, load.firstEventMillis(newTokens, nowMillis));
         }
-        return nowMillis + waitMillis + firstMillis > job.request().onTimeMillis()
+        return nowMillis + waitMillis + firstMillis > job.onTimeMillis()
                 ? Optional.of(
-                        refuse(
-                                job,
-                                ErrorKind.WORKSPACE_QUEUE_FULL,
-                                PoolCause.TOO_LATE,
-                                nowMillis))
+                        refuse(job, PoolCause.TOO_LATE, nowMillis))
                 : Optional.empty();
     }
 
-    private PoolAction refuse(PoolJob job, ErrorKind kind, PoolCause cause, long nowMillis) {
-        return new PoolAction.Refuse(job, kind, retryAfterMillis(job, nowMillis), cause);
+    private PoolAction refuse(PoolJob job, PoolCause cause, long nowMillis) {
+        return new PoolAction.Refuse(job, retryAfterMillis(job, nowMillis), cause);
     }
 
     /**
@@ -277,8 +336,8 @@
         double aheadMillis =
                 served <= level ? 0 : mSettings.shareWindowMillis() * Math.log(served / level);
         double queueMillis = waitMillis(mWaiting.tokens(), nowMillis);
-        double leastMillis = job.request().route().objectiveMillis();
-        double spread = 0.75 + 0.5 * ((job.request().id().hashCode() & 0xff) / 256.0);
+        double leastMillis = job.objectiveMillis();
+        double spread = 0.75 + 0.5 * ((job.id().hashCode() & 0xff) / 256.0);
         return (long) (spread * Math.max(leastMillis, Math.max(aheadMillis, queueMillis)));
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Ticket.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Ticket.java
@@ -47,7 +47,8 @@
         return mAccount;
     }
 
-    long memoryTokens() {
+    /** Returns how much memory the request may come to fill, in tokens. */
+    public long memoryTokens() {
         return mMemoryTokens;
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -1,5 +1,6 @@
 package org.magnoliapick.pool;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -15,6 +16,9 @@
     /** How long what another instance told of its use counts, in milliseconds. */
     private static final long PEER_USE_MILLIS = 1_500;
 
+    /** How long a grant counts that its instance does not report, in milliseconds. */
+    private static final long PENDING_MILLIS = 1_000;
+
     /** Prompt tokens that an engine reads in a millisecond, until it has been seen reading. */
     private static final double INITIAL_TOKENS_PER_MILLI = 60;
 
@@ -36,11 +40,13 @@
     private final UpstreamHealth mHealth = new UpstreamHealth();
     private final Map<InstanceId, PeerUse> mPeers = new HashMap<>();
     private final Optional<CacheBelief> mCache;
+    private final List<Pending> mPending = new ArrayList<>();
     private ListedUpstream mUpstream;
     private int mRunning;
     private long mReadingTokens;
     private long mMemoryTokens;
     private double mTokensPerMilli = INITIAL_TOKENS_PER_MILLI;
+    private boolean mSpeedSeen;
 
     UpstreamLoad(ListedUpstream upstream, Optional<EngineSpec> engine) {
         mUpstream = upstream;
@@ -94,6 +100,7 @@
             double seen = (double) tokens / tookMillis;
             double bounded =
                     Math.max(LEAST_TOKENS_PER_MILLI, Math.min(MOST_TOKENS_PER_MILLI, seen));
+            mSpeedSeen = true;
             mTokensPerMilli += SPEED_WEIGHT * (bounded - mTokensPerMilli);
         }
     }
@@ -115,8 +122,25 @@
         }
     }
 
+    /** Notes a request that another instance was granted and has not reported yet. */
+    void granted(InstanceId asker, long grant, Ticket ticket, List<PromptPart> parts) {
+        mPending.add(new Pending(asker, grant, ticket));
+        mCache.ifPresent(cache -> cache.sent(parts));
+    }
+
+    /** Notes that an instance's reports hold what it was granted up to a number. */
+    void reported(InstanceId asker, long grant) {
+        mPending.removeIf(each -> each.asker().equals(asker) && each.grant() <= grant);
+    }
+
+    private List<Pending> pending(long nowMillis) {
+        mPending.removeIf(
+                each -> nowMillis - each.ticket().startedMillis() > PENDING_MILLIS);
+        return mPending;
+    }
+
     int running(long nowMillis) {
-        int running = mRunning;
+        int running = mRunning + pending(nowMillis).size();
         for (PeerUse peer : peers(nowMillis)) {
             running += peer.use().running();
         }
@@ -126,6 +150,9 @@
     /** Returns the tokens that the upstream still has to read, as far as is known. */
     long readingTokens(long nowMillis) {
         long tokens = mReadingTokens;
+        for (Pending each : pending(nowMillis)) {
+            tokens += each.ticket().newTokens();
+        }
         for (PeerUse peer : peers(nowMillis)) {
             tokens += peer.use().readingTokens();
         }
@@ -134,6 +161,9 @@
 
     long memoryTokens(long nowMillis) {
         long tokens = mMemoryTokens;
+        for (Pending each : pending(nowMillis)) {
+            tokens += each.ticket().memoryTokens();
+        }
         for (PeerUse peer : peers(nowMillis)) {
             tokens += peer.use().memoryTokens();
         }
@@ -142,24 +172,38 @@
 
     /** Returns the expected time to the first event of a prompt sent now, in milliseconds. */
     long firstEventMillis(long newTokens, long nowMillis) {
-        double reading = (readingTokens(nowMillis) + newTokens) / mTokensPerMilli;
+        double reading = (readingTokens(nowMillis) + newTokens) / tokensPerMilli(nowMillis);
         return FIRST_EVENT_BASE_MILLIS + (long) reading;
     }
 
     /** Returns how long the upstream reads before it gets to a prompt sent now. */
     double aheadMillis(long nowMillis) {
-        return readingTokens(nowMillis) / mTokensPerMilli;
+        return readingTokens(nowMillis) / tokensPerMilli(nowMillis);
     }
 
-    double tokensPerMilli() {
-        return mTokensPerMilli;
+    /** Returns the speed of reading: the mean of what the instances saw. */
+    double tokensPerMilli(long nowMillis) {
+        double sum = mSpeedSeen ? mTokensPerMilli : 0;
+        int seen = mSpeedSeen ? 1 : 0;
+        for (PeerUse peer : peers(nowMillis)) {
+            if (peer.use().tokensPerMilli() > 0) {
+                sum += peer.use().tokensPerMilli();
+                seen++;
+            }
+        }
+        return seen == 0 ? mTokensPerMilli : sum / seen;
     }
 
     Optional<UpstreamUse> own() {
         return mRunning == 0
                 ? Optional.empty()
                 : Optional.of(
-                        new UpstreamUse(mUpstream.id(), mRunning, mReadingTokens, mMemoryTokens));
+                        new UpstreamUse(
+                                mUpstream.id(),
+                                mRunning,
+                                mReadingTokens,
+                                mMemoryTokens,
+                                mSpeedSeen ? (int) Math.round(mTokensPerMilli) : 0));
     }
 
     private Iterable<PeerUse> peers(long nowMillis) {
@@ -172,5 +216,7 @@
         return mPeers.values();
     }
 
+    private record Pending(InstanceId asker, long grant, Ticket ticket) {}
+
     private record PeerUse(UpstreamUse use, long atMillis) {}
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.WorkspaceId;
 
 /** The requests of a pool that wait at this instance, and the order in which they go. */
@@ -20,13 +22,21 @@
         mJobs.removeIf(each -> each == job);
     }
 
+    /** Returns the question of another instance that waits under its number. */
+    Optional<PoolJob> find(InstanceId asker, long number) {
+        return mJobs.stream()
+                .filter(job -> job.number() == number)
+                .filter(job -> job.asker().filter(asker::equals).isPresent())
+                .findFirst();
+    }
+
     int size() {
         return mJobs.size();
     }
 
     /** Returns the prompt tokens of all that wait. */
     long tokens() {
-        return mJobs.stream().mapToLong(job -> job.request().prompt().promptTokens()).sum();
+        return mJobs.stream().mapToLong(job -> job.prompt().promptTokens()).sum();
     }
 
     /** Returns what the least served workspace that waits was served, in tokens. */
@@ -50,7 +60,7 @@
                             .reversed()
                             .thenComparing(PoolJob::rank)
                             .thenComparing(job -> tokens.get(job.account()))
-                            .thenComparing(job -> !job.request().returned())
+                            .thenComparing(job -> !job.returned())
                             .thenComparing(PoolJob::submittedMillis));
         }
         return order;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/request/AttemptEnd.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/request/AttemptEnd.java
@@ -46,6 +46,11 @@
         return mResumable;
     }
 
+    /** Returns whether the upstream was out of reach or did not take the request. */
+    public boolean loses() {
+        return this == NOT_SENT || this == REFUSED || this == LOST_BEFORE_HEAD || this == TIMEOUT;
+    }
+
     /** Returns the error that the caller gets if the request is not tried again. */
     public ErrorKind errorKind() {
         return mErrorKind;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -37,7 +37,7 @@
     private static final long POOL_TICK_MILLIS = 10;
 
     /** How often it is looked whether other instances are to be told, in milliseconds. */
-    private static final long PEER_TICK_MILLIS = 50;
+    private static final long PEER_TICK_MILLIS = 5;
 
     /** How often silent streams and idle connections are looked for, in milliseconds. */
     private static final long SWEEP_MILLIS = 200;
@@ -95,6 +95,7 @@
         mRelays.pools(mPools);
         mCallers = new CallerServer(mGroup, mRelays, log, clockMillis);
         mPeers = new PeerSocket(mGroup, settings, mPools, log, clockMillis);
+        mPools.dispatchers(mPeers::dispatcher, mPeers::wake);
     }
 
     /**
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -1,20 +1,26 @@
 package org.magnoliapick.gateway.internal.relay;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.magnoliapick.gateway.AddressPort;
 import org.magnoliapick.gateway.internal.http.Connector;
 import org.magnoliapick.gateway.internal.http.ServerConnections;
+import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
-import org.magnoliapick.pool.InstanceReport;
+import org.magnoliapick.pool.InstancePacket;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.pool.PoolAction;
 import org.magnoliapick.pool.PoolJob;
+import org.magnoliapick.pool.PoolMessage;
+import org.magnoliapick.pool.PoolNode;
 import org.magnoliapick.pool.PoolScheduler;
 import org.magnoliapick.pool.PoolSettings;
+import org.magnoliapick.pool.PoolUse;
 import org.magnoliapick.pool.Ticket;
 import org.magnoliapick.pool.UpstreamDirectory;
 import org.magnoliapick.request.AttemptEnd;
@@ -25,10 +31,13 @@
 public final class Pools {
     private final Connector mConnector;
     private final PoolSettings mSettings;
-    private final Map<String, PoolScheduler> mPools = new HashMap<>();
+    private final Map<String, PoolNode> mPools = new HashMap<>();
     private final Map<UpstreamId, Link> mLinks = new HashMap<>();
     private final UpstreamDirectory mDirectory;
     private final Consumer<PoolAction> mSink;
+    private Function<String, Optional<InstanceId>> mDispatchers = service -> Optional.empty();
+    private Runnable mWake = () -> {};
+    private boolean mDirty;
     private Optional<TrafficConfig> mConfig = Optional.empty();
 
     /**
@@ -50,12 +59,12 @@
     /** Takes over a version of the configuration. */
     public void configured(TrafficConfig config) {
         mConfig = Optional.of(config);
-        mPools.forEach((name, pool) -> config.service(name).ifPresent(pool::configure));
+        mPools.forEach((name, pool) -> config.service(name).ifPresent(pool.scheduler()::configure));
     }
 
     /** Takes over a change of the directory. */
     public void listed(long nowMillis) {
-        mPools.forEach((name, pool) -> pool.listed(mDirectory.usable(name)));
+        mPools.forEach((name, pool) -> pool.scheduler().listed(mDirectory.usable(name)));
         Map<UpstreamId, ListedUpstream> usable = new HashMap<>();
         mDirectory.usable().forEach(each -> usable.put(each.id(), each));
         mLinks.values()
@@ -73,28 +82,32 @@
 
     /** Takes a request that asks for an upstream. */
     public void submit(PoolJob job, long nowMillis) {
-        carryOut(pool(job.request().service()).submit(job, nowMillis));
+        carryOut(pool(job.service()).submit(job, dispatcher(job.service()), nowMillis));
+        mWake.run();
     }
 
     /** Drops a waiting request. */
     public void withdraw(PoolJob job) {
-        pool(job.request().service()).withdraw(job);
+        pool(job.service()).withdraw(job);
     }
 
     /** Notes the first event or head of an answer. */
     public void answering(PoolJob job, Ticket ticket, long nowMillis) {
-        pool(job.request().service()).answering(ticket, nowMillis);
+        pool(job.service()).scheduler().answering(ticket, nowMillis);
+        mDirty = true;
     }
 
     /** Notes the end of an attempt. */
     public void ended(PoolJob job, Ticket ticket, Optional<AttemptEnd> end, long nowMillis) {
-        carryOut(pool(job.request().service()).ended(ticket, end, nowMillis));
+        PoolNode pool = pool(job.service());
+        carryOut(pool.own(pool.scheduler().ended(ticket, end, nowMillis)));
+        mDirty = true;
     }
 
     /** Lets time pass. */
     public void tick(long nowMillis) {
-        for (PoolScheduler pool : List.copyOf(mPools.values())) {
-            carryOut(pool.tick(nowMillis));
+        for (Map.Entry<String, PoolNode> each : List.copyOf(mPools.entrySet())) {
+            carryOut(each.getValue().tick(dispatcher(each.getKey()), nowMillis));
         }
     }
 
@@ -105,16 +118,80 @@
 
     /** Returns how many requests wait in all pools. */
     public int waiting() {
-        return mPools.values().stream().mapToInt(PoolScheduler::waiting).sum();
+        return mPools.values().stream().mapToInt(PoolNode::waiting).sum();
     }
 
-    /** Takes what another instance told. */
-    public void peer(InstanceReport report, long nowMillis) {
-        report.pools().forEach(use -> pool(use.service()).peer(report.instance(), use, nowMillis));
+    /** Takes what another instance sent. */
+    public void received(InstancePacket packet, boolean news, long nowMillis) {
+        packet.report()
+                .filter(report -> news)
+                .ifPresent(
+                        report -> {
+                            for (PoolUse use : report.pools()) {
+                                pool(use.service())
+                                        .scheduler()
+                                        .peer(report.instance(), use, nowMillis);
+                            }
+                            packet.grantsTaken()
+                                    .forEach(
+                                            (service, grant) ->
+                                                    pool(service)
+                                                            .scheduler()
+                                                            .reported(packet.from(), grant));
+                        });
+        packet.messages().forEach(each -> received(packet.from(), each, nowMillis));
+        if (packet.report().isPresent()) {
+            tick(nowMillis);
+        }
+        mWake.run();
+    }
+
+    private void received(InstanceId from, PoolMessage message, long nowMillis) {
+        if (message instanceof PoolMessage.Ask ask) {
+            carryOut(pool(ask.job().service()).asked(from, ask.job(), nowMillis));
+        } else if (message instanceof PoolMessage.Decide decide) {
+            carryOut(pool(decide.service()).decided(from, decide.decision(), nowMillis));
+        } else if (message instanceof PoolMessage.Withdraw withdraw) {
+            pool(withdraw.service()).withdrawn(from, withdraw.number());
+        }
+    }
+
+    /** Returns whether there are messages to send. */
+    public boolean hasMessages() {
+        return mPools.values().stream().anyMatch(PoolNode::hasMessages);
+    }
+
+    /** Returns the messages that are to be sent, and forgets them. */
+    public List<PoolMessage> takeOutbox() {
+        List<PoolMessage> messages = new ArrayList<>();
+        mPools.values().forEach(pool -> messages.addAll(pool.takeOutbox()));
+        return messages;
+    }
+
+    /** Returns whether the own use changed since this was asked last. */
+    public boolean takeDirty() {
+        boolean dirty = mDirty;
+        mDirty = false;
+        return dirty;
+    }
+
+    /**
+     * Sets who tells which other instance decides for a service.
+     *
+     * @param wake runs when there may be messages to send
+     */
+    public void dispatchers(
+            Function<String, Optional<InstanceId>> dispatchers, Runnable wake) {
+        mDispatchers = dispatchers;
+        mWake = wake;
+    }
+
+    private Optional<InstanceId> dispatcher(String service) {
+        return mDispatchers.apply(service);
     }
 
     /** Returns the pools by their services' names. */
-    public Map<String, PoolScheduler> pools() {
+    public Map<String, PoolNode> pools() {
         return mPools;
     }
 
@@ -129,20 +206,21 @@
         return link.connections();
     }
 
-    private PoolScheduler pool(String service) {
+    private PoolNode pool(String service) {
         return mPools.computeIfAbsent(
                 service,
                 name -> {
                     ServiceSpec spec =
                             mConfig.flatMap(config -> config.service(name))
                                     .orElse(new ServiceSpec(name, 0, Optional.empty()));
-                    PoolScheduler pool = new PoolScheduler(spec, mSettings);
-                    pool.listed(mDirectory.usable(name));
-                    return pool;
+                    PoolScheduler scheduler = new PoolScheduler(spec, mSettings);
+                    scheduler.listed(mDirectory.usable(name));
+                    return new PoolNode(name, scheduler);
                 });
     }
 
     private void carryOut(List<PoolAction> actions) {
+        mDirty |= !actions.isEmpty();
         actions.forEach(mSink);
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -5,10 +5,12 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.gateway.internal.http.HttpConnection;
 import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.pool.PoolAction;
 import org.magnoliapick.pool.PoolJob;
@@ -33,6 +35,7 @@
     private PoolJob mJob;
     private Ticket mTicket;
     private UpstreamCall mCall;
+    private Set<UpstreamId> mLost = Set.of();
     private boolean mOver;
 
     Relay(
@@ -75,7 +78,15 @@
 
     private void ask() {
         long nowMillis = mContext.nowMillis();
-        mJob = new PoolJob(mRequest, mAttempts.tried(), mAttempts.answering(), mRank, nowMillis);
+        mJob =
+                PoolJob.of(
+                        mRequest,
+                        mAttempts.tried(),
+                        mLost,
+                        mAttempts.answering(),
+                        mRank,
+                        mRelays.nextNumber(),
+                        nowMillis);
         mTicket = null;
         mCall = null;
         mRelays.waiting(mJob, this);
@@ -100,7 +111,7 @@
     }
 
     void refused(PoolAction.Refuse refuse) {
-        ErrorKind kind = mAttempts.truthful(refuse.kind());
+        ErrorKind kind = mAttempts.truthful(refuse.cause().errorKind());
         line("request.refused")
                 .with("cause", refuse.cause().logName())
                 .with("error", kind.wireName())
@@ -232,6 +243,7 @@
                 .with("end", end)
                 .with("tookMillis", tookMillis())
                 .log();
+        mLost = end.loses() ? Set.of(mTicket.upstream().id()) : Set.of();
         release(Optional.of(end));
         return mAttempts.after(end, mContext.budget(), nowMillis);
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.ArrayList;
-import java.util.IdentityHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,11 +25,15 @@
     /** What a caller is told to wait where this instance knows no configuration yet. */
     private static final long UNREADY_WAIT_MILLIS = 500;
 
+    /** Numbers that a millisecond holds, so that numbers of a new life are higher than all before. */
+    private static final long QUESTIONS_PER_MILLI = 16;
+
     private final RelayContext mContext;
-    private final Map<PoolJob, Relay> mByJob = new IdentityHashMap<>();
+    private final Map<Long, Relay> mByJob = new HashMap<>();
     private final List<Relay> mUnderWay = new ArrayList<>();
     private final CallerPatience mPatience = new CallerPatience();
     private Pools mPools;
+    private long mLastNumber;
     private boolean mStopping;
 
     /** Creates an empty set. */
@@ -44,7 +48,7 @@
 
     /** Carries out what a pool decided. */
     public void carryOut(PoolAction action) {
-        Relay relay = mByJob.remove(action.job());
+        Relay relay = mByJob.remove(action.job().number());
         if (relay == null) {
             throw new IllegalStateException("No request for " + action);
         }
@@ -131,12 +135,18 @@
         }
     }
 
+    /** Returns a number for a question that no other question of this instance had. */
+    long nextNumber() {
+        mLastNumber = Math.max(mLastNumber + 1, mContext.nowMillis() * QUESTIONS_PER_MILLI);
+        return mLastNumber;
+    }
+
     void waiting(PoolJob job, Relay relay) {
-        mByJob.put(job, relay);
+        mByJob.put(job.number(), relay);
     }
 
     void withdrawn(PoolJob job) {
-        if (mByJob.remove(job) != null) {
+        if (mByJob.remove(job.number()) != null) {
             mPools.withdraw(job);
         }
     }
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
@@ -4,12 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
-import org.apache.thrift.TDeserializer;
-import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
@@ -22,15 +17,11 @@
 import org.magnoliapick.rpc.gen.UseUpstream;
 import org.magnoliapick.rpc.gen.UseWorkspace;
 
-/** Turns reports between gateways into bytes and back. */
-public final class UseCodec {
-    private static final int MAX_STRING_BYTES = 1_024;
-    private static final int MAX_LIST_SIZE = 10_000;
-
+/** Turns reports between gateways into messages and back. */
+final class UseCodec {
     private UseCodec() {}
 
-    /** Encodes a report. */
-    public static byte[] encode(InstanceReport report) {
+    static UseReport report(InstanceReport report) {
         UseReport message =
                 new UseReport(
                         report.instance().value(),
@@ -42,34 +33,22 @@
         if (!report.knownAddresses().isEmpty()) {
             message.setKnownAddresses(report.knownAddresses());
         }
-        try {
-            return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
-        } catch (TException e) {
-            throw new IllegalStateException("A report is written to memory", e);
-        }
-    }
-
-    /** Decodes a report; whatever the bytes are, it returns. */
-    public static Optional<InstanceReport> decode(byte[] bytes) {
-        UseReport message = new UseReport();
-        try {
-            new TDeserializer(new TCompactProtocol.Factory(MAX_STRING_BYTES, MAX_LIST_SIZE))
-                    .deserialize(message, bytes);
-            return Optional.of(report(message));
-        } catch (TException | RuntimeException e) {
-            return Optional.empty();
-        }
+        return message;
     }
 
     private static UsePool pool(PoolUse use) {
         List<UseUpstream> upstreams = new ArrayList<>();
         for (UpstreamUse each : use.uses()) {
-            upstreams.add(
+            UseUpstream upstream =
                     new UseUpstream(
                             each.upstream().value(),
                             each.running(),
                             each.readingTokens(),
-                            each.memoryTokens()));
+                            each.memoryTokens());
+            if (each.tokensPerMilli() > 0) {
+                upstream.setTokensPerMilli(each.tokensPerMilli());
+            }
+            upstreams.add(upstream);
         }
         List<UseWorkspace> workspaces = new ArrayList<>();
         use.servedTokens()
@@ -81,7 +60,7 @@
         return pool;
     }
 
-    private static InstanceReport report(UseReport message) {
+    static InstanceReport report(UseReport message) {
         List<PoolUse> pools = new ArrayList<>();
         message.getPools().forEach(each -> pools.add(use(each)));
         return new InstanceReport(
@@ -102,7 +81,8 @@
                             new UpstreamId(each.getUpstream()),
                             each.getRunning(),
                             each.getReadingTokens(),
-                            each.getMemoryTokens()));
+                            each.getMemoryTokens(),
+                            each.getTokensPerMilli()));
         }
         Map<WorkspaceId, Long> served = new HashMap<>();
         pool.getWorkspaces()
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseUpstream.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseUpstream.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField READING_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("readingTokens", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField MEMORY_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("memoryTokens", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField TOKENS_PER_MILLI_FIELD_DESC = new org.apache.thrift.protocol.TField("tokensPerMilli", org.apache.thrift.protocol.TType.I32, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UseUpstreamStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UseUpstreamTupleSchemeFactory();
@@ -25,13 +26,15 @@
   public int running; // required
   public long readingTokens; // required
   public long memoryTokens; // required
+  public int tokensPerMilli; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     UPSTREAM((short)1, "upstream"),
     RUNNING((short)2, "running"),
     READING_TOKENS((short)3, "readingTokens"),
-    MEMORY_TOKENS((short)4, "memoryTokens");
+    MEMORY_TOKENS((short)4, "memoryTokens"),
+    TOKENS_PER_MILLI((short)5, "tokensPerMilli");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +58,8 @@
           return READING_TOKENS;
         case 4: // MEMORY_TOKENS
           return MEMORY_TOKENS;
+        case 5: // TOKENS_PER_MILLI
+          return TOKENS_PER_MILLI;
         default:
           return null;
       }
@@ -101,7 +106,9 @@
   private static final int __RUNNING_ISSET_ID = 0;
   private static final int __READINGTOKENS_ISSET_ID = 1;
   private static final int __MEMORYTOKENS_ISSET_ID = 2;
+  private static final int __TOKENSPERMILLI_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.TOKENS_PER_MILLI};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -113,6 +120,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.MEMORY_TOKENS, new org.apache.thrift.meta_data.FieldMetaData("memoryTokens", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TOKENS_PER_MILLI, new org.apache.thrift.meta_data.FieldMetaData("tokensPerMilli", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UseUpstream.class, metaDataMap);
   }
@@ -147,6 +156,7 @@
     this.running = other.running;
     this.readingTokens = other.readingTokens;
     this.memoryTokens = other.memoryTokens;
+    this.tokensPerMilli = other.tokensPerMilli;
   }
 
   @Override
@@ -163,6 +173,8 @@
     this.readingTokens = 0;
     setMemoryTokensIsSet(false);
     this.memoryTokens = 0;
+    setTokensPerMilliIsSet(false);
+    this.tokensPerMilli = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -259,6 +271,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMORYTOKENS_ISSET_ID, value);
   }
 
+  public int getTokensPerMilli() {
+    return this.tokensPerMilli;
+  }
+
+  public UseUpstream setTokensPerMilli(int tokensPerMilli) {
+    this.tokensPerMilli = tokensPerMilli;
+    setTokensPerMilliIsSet(true);
+    return this;
+  }
+
+  public void unsetTokensPerMilli() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKENSPERMILLI_ISSET_ID);
+  }
+
+  /** Returns true if field tokensPerMilli is set (has been assigned a value) and false otherwise */
+  public boolean isSetTokensPerMilli() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKENSPERMILLI_ISSET_ID);
+  }
+
+  public void setTokensPerMilliIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENSPERMILLI_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -294,6 +329,14 @@
       }
       break;
 
+    case TOKENS_PER_MILLI:
+      if (value == null) {
+        unsetTokensPerMilli();
+      } else {
+        setTokensPerMilli((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -313,6 +356,9 @@
     case MEMORY_TOKENS:
       return getMemoryTokens();
 
+    case TOKENS_PER_MILLI:
+      return getTokensPerMilli();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -333,6 +379,8 @@
       return isSetReadingTokens();
     case MEMORY_TOKENS:
       return isSetMemoryTokens();
+    case TOKENS_PER_MILLI:
+      return isSetTokensPerMilli();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -386,6 +434,15 @@
         return false;
     }
 
+    boolean this_present_tokensPerMilli = true && this.isSetTokensPerMilli();
+    boolean that_present_tokensPerMilli = true && that.isSetTokensPerMilli();
+    if (this_present_tokensPerMilli || that_present_tokensPerMilli) {
+      if (!(this_present_tokensPerMilli && that_present_tokensPerMilli))
+        return false;
+      if (this.tokensPerMilli != that.tokensPerMilli)
+        return false;
+    }
+
     return true;
   }
 
@@ -403,6 +460,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(memoryTokens);
 
+    hashCode = hashCode * 8191 + ((isSetTokensPerMilli()) ? 131071 : 524287);
+    if (isSetTokensPerMilli())
+      hashCode = hashCode * 8191 + tokensPerMilli;
+
     return hashCode;
   }
 
@@ -454,6 +515,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetTokensPerMilli(), other.isSetTokensPerMilli());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTokensPerMilli()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.tokensPerMilli, other.tokensPerMilli);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -497,6 +568,12 @@
     sb.append("memoryTokens:");
     sb.append(this.memoryTokens);
     first = false;
+    if (isSetTokensPerMilli()) {
+      if (!first) sb.append(", ");
+      sb.append("tokensPerMilli:");
+      sb.append(this.tokensPerMilli);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -582,6 +659,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // TOKENS_PER_MILLI
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.tokensPerMilli = iprot.readI32();
+              struct.setTokensPerMilliIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -621,6 +706,11 @@
       oprot.writeFieldBegin(MEMORY_TOKENS_FIELD_DESC);
       oprot.writeI64(struct.memoryTokens);
       oprot.writeFieldEnd();
+      if (struct.isSetTokensPerMilli()) {
+        oprot.writeFieldBegin(TOKENS_PER_MILLI_FIELD_DESC);
+        oprot.writeI32(struct.tokensPerMilli);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -643,6 +733,14 @@
       oprot.writeI32(struct.running);
       oprot.writeI64(struct.readingTokens);
       oprot.writeI64(struct.memoryTokens);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetTokensPerMilli()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetTokensPerMilli()) {
+        oprot.writeI32(struct.tokensPerMilli);
+      }
     }
 
     @Override
@@ -656,6 +754,11 @@
       struct.setReadingTokensIsSet(true);
       struct.memoryTokens = iprot.readI64();
       struct.setMemoryTokensIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.tokensPerMilli = iprot.readI32();
+        struct.setTokensPerMilliIsSet(true);
+      }
     }
   }
 
--- a/magnoliapick-rpc/src/main/thrift/use.thrift
+++ b/magnoliapick-rpc/src/main/thrift/use.thrift
@@ -7,6 +7,7 @@
   2: required i32 running
   3: required i64 readingTokens
   4: required i64 memoryTokens
+  5: optional i32 tokensPerMilli
 }
 
 /** What a workspace was served by the sender, decayed over the share window. */
@@ -37,3 +38,54 @@
   6: optional list<string> knownAddresses
   7: required string address
 }
+
+struct UsePart {
+  1: required string id
+  2: required i32 tokens
+}
+
+/** Asks the dispatcher for an upstream. Times are milliseconds from now. */
+struct UseAsk {
+  1: required i64 number
+  2: required string requestId
+  3: required string serviceName
+  4: required string account
+  5: required i32 promptTokens
+  6: required i32 outputTokens
+  7: required list<UsePart> parts
+  8: required i64 objectiveMillis
+  9: required i64 onTimeInMillis
+  10: required i32 rank
+  11: optional bool returned
+  12: optional bool underWay
+  13: optional list<string> excluded
+  14: optional list<string> lost
+}
+
+/** What was decided: it waits if neither upstream nor refusal is there. */
+struct UseDecision {
+  1: required i64 number
+  2: required string serviceName
+  3: optional string upstream
+  4: optional i64 grant
+  5: optional i64 newTokens
+  6: optional i64 aheadTokens
+  7: optional i32 cause
+  8: optional i64 retryAfterMillis
+}
+
+struct UseWithdrawal {
+  1: required i64 number
+  2: required string serviceName
+}
+
+/** One datagram. */
+struct UsePacket {
+  1: required string fromInstance
+  2: required string address
+  3: optional UseReport report
+  4: optional map<string, i64> grantsTaken
+  5: optional list<UseAsk> asks
+  6: optional list<UseDecision> decisions
+  7: optional list<UseWithdrawal> withdrawals
+}
