Let a request wait for the upstream that keeps its prompt; log what a dispatcher believes

Change: for 0.35 of its objective a request goes only where most of what it shares is kept; up to 40 that wait so are passed over. One log line a request with its placement; pool.load once a second.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolNode.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolNode.java
@@ -85,10 +85,7 @@
     public void withdraw(PoolJob job) {
         mScheduler.withdraw(job);
         mAsks.withdraw(job)
-                .ifPresent(
-                        to ->
-                                mOutbox.add(
-                                        new PoolMessage.Withdraw(to, mService, job.number())));
+                .ifPresent(to -> mOutbox.add(new PoolMessage.Withdraw(to, mService, job.number())));
     }
 
     /** Takes a question of another instance. */
@@ -137,8 +134,7 @@
             // The dispatcher knows an upstream that is not, or no more, listed here.
             return own(mScheduler.submit(job.get(), nowMillis));
         }
-        return List.of(
-                new PoolAction.Start(job.get(), ticket.get(), start.grant(), start.cause()));
+        return List.of(new PoolAction.Start(job.get(), ticket.get(), start.grant(), start.cause()));
     }
 
     /** Lets time pass. */
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -22,8 +22,14 @@
     /** The part of its objective that a request may wait before it is refused as too late. */
     private static final double FREE_WAIT_SHARE = 0.125;
 
+    /** The part of its objective that a request waits for an upstream that keeps its prompt. */
+    private static final double KEPT_WAIT_SHARE = 0.35;
+
+    /** Tokens that are not worth waiting for: a few milliseconds of reading. */
+    private static final long NEGLIGIBLE_TOKENS = 512;
+
     /** How many requests that fit nowhere are passed over, such as those too large for now. */
-    private static final int MOST_PASSED_OVER = 3;
+    private static final int MOST_PASSED_OVER = 40;
 
     /** The part of its time that an engine reads prompts when it is full. */
     private static final double READING_SHARE = 0.7;
@@ -94,8 +100,7 @@
     /** Takes a request; returns what is decided now, about it and about others. */
     public List<PoolAction> submit(PoolJob job, long nowMillis) {
         if (mWaiting.size() >= mSettings.maxWaiting()) {
-            return List.of(
-                    refuse(job, PoolCause.QUEUE_FULL, nowMillis));
+            return List.of(refuse(job, PoolCause.QUEUE_FULL, nowMillis));
         }
         for (UpstreamId lost : job.lost()) {
             UpstreamLoad load = mLoads.get(lost);
@@ -133,6 +138,22 @@
         mLoads.values().forEach(load -> load.reported(asker, grant));
     }
 
+    /** Returns for each upstream requests running, tokens to read and tokens read in a ms. */
+    public String describeLoad(long nowMillis) {
+        StringBuilder text = new StringBuilder();
+        mLoads.forEach(
+                (id, load) ->
+                        text.append(id)
+                                .append(':')
+                                .append(load.running(nowMillis))
+                                .append('/')
+                                .append(load.readingTokens(nowMillis))
+                                .append('/')
+                                .append(Math.round(load.tokensPerMilli(nowMillis)))
+                                .append(' '));
+        return text.toString().trim();
+    }
+
     /** Returns whether the service's upstreams are model engines. */
     public boolean hasEngines() {
         return mService.engine().isPresent();
@@ -249,10 +270,21 @@
         return mServed.of(job.account(), nowMillis) <= mLevels.leastTokens(nowMillis);
     }
 
+    /**
+     * Starts a request at the best upstream that has room. While there is time, it goes only where
+     * most of what it shares with others is kept: reading that again costs all who wait.
+     */
     private Optional<PoolAction> place(PoolJob job, long nowMillis) {
+        long tokensLimit = Long.MAX_VALUE;
+        if (hasEngines() && mayWaitForKept(job, nowMillis)) {
+            tokensLimit = fewestNewTokens(job) + NEGLIGIBLE_TOKENS;
+        }
         Choice best = null;
         for (UpstreamLoad load : mLoads.values()) {
             Optional<Choice> choice = choice(job, load, nowMillis);
+            if (choice.isPresent() && choice.get().newTokens() > tokensLimit) {
+                continue;
+            }
             if (choice.isPresent() && (best == null || choice.get().cost() < best.cost())) {
                 best = choice.get();
             }
@@ -260,6 +292,19 @@
         return best == null ? Optional.empty() : Optional.of(start(job, best, nowMillis));
     }
 
+    private static boolean mayWaitForKept(PoolJob job, long nowMillis) {
+        long waitedMillis = nowMillis - job.submittedMillis();
+        return !job.underWay() && waitedMillis < job.objectiveMillis() * KEPT_WAIT_SHARE;
+    }
+
+    private long fewestNewTokens(PoolJob job) {
+        long fewest = Long.MAX_VALUE;
+        for (UpstreamLoad load : mLoads.values()) {
+            fewest = Math.min(fewest, weigh(job, load).newTokens());
+        }
+        return fewest;
+    }
+
     private Optional<Choice> choice(PoolJob job, UpstreamLoad load, long nowMillis) {
         boolean excluded =
                 job.excluded().contains(load.upstream().id())
@@ -308,8 +353,7 @@
             return Optional.empty();
         }
         if (mLoads.isEmpty()) {
-            return Optional.of(
-                    refuse(job, PoolCause.NO_UPSTREAM, nowMillis));
+            return Optional.of(refuse(job, PoolCause.NO_UPSTREAM, nowMillis));
         }
         long firstMillis = Long.MAX_VALUE;
         for (UpstreamLoad load : mLoads.values()) {
@@ -317,8 +361,7 @@
             firstMillis = Math.min(firstMillis, load.firstEventMillis(newTokens, nowMillis));
         }
         return nowMillis + waitMillis + firstMillis > job.onTimeMillis()
-                ? Optional.of(
-                        refuse(job, PoolCause.TOO_LATE, nowMillis))
+                ? Optional.of(refuse(job, PoolCause.TOO_LATE, nowMillis))
                 : Optional.empty();
     }
 
@@ -327,8 +370,8 @@
     }
 
     /**
-     * Returns when a refused caller should come back: once what waits now is done, and its workspace
-     * is no further ahead of those that wait; spread, so that not all come together.
+     * Returns when a refused caller should come back: once what waits now is done, and its
+     * workspace is no further ahead of those that wait; spread, so that not all come together.
      */
     private long retryAfterMillis(PoolJob job, long nowMillis) {
         double served = mServed.of(job.account(), nowMillis);
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -134,8 +134,7 @@
     }
 
     private List<Pending> pending(long nowMillis) {
-        mPending.removeIf(
-                each -> nowMillis - each.ticket().startedMillis() > PENDING_MILLIS);
+        mPending.removeIf(each -> nowMillis - each.ticket().startedMillis() > PENDING_MILLIS);
         return mPending;
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
@@ -46,7 +46,10 @@
                 .min();
     }
 
-    /** Returns all in order: what is under way, then by rank, the least served workspace first, returns first. */
+    /**
+     * Returns all in order: what is under way, then by rank, the least served workspace first,
+     * returns first.
+     */
     List<PoolJob> order(ServedWindow served, long nowMillis) {
         List<PoolJob> order = new ArrayList<>(mJobs);
         if (order.size() > 1) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -42,6 +42,9 @@
     /** How often silent streams and idle connections are looked for, in milliseconds. */
     private static final long SWEEP_MILLIS = 200;
 
+    /** How often a dispatcher logs what it believes of the load, in milliseconds. */
+    private static final long LOAD_LOG_MILLIS = 1_000;
+
     /** How long a stopping instance still takes callers: the balancer asks twice. */
     private static final long LEAVE_MILLIS = 3_000;
 
@@ -62,6 +65,7 @@
     private final Connector mConnector = new Connector(mGroup);
     private final Dialect mDialect;
     private final CountDownLatch mStopped = new CountDownLatch(1);
+    private long mLoadLoggedMillis;
     private boolean mStopping;
     private long mStopDeadlineMillis;
 
@@ -180,6 +184,10 @@
                         mPools.listed(nowMillis);
                     }
                     mRelays.tick(nowMillis);
+                    if (nowMillis - mLoadLoggedMillis >= LOAD_LOG_MILLIS) {
+                        mLoadLoggedMillis = nowMillis;
+                        mPools.logLoad(mLog, nowMillis);
+                    }
                     mPools.sweep(nowMillis);
                     mCallers.sweep(nowMillis);
                     stopStep(nowMillis);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -145,9 +145,7 @@
         if (!dispatcher.equals(mDispatchers.put(service, dispatcher))) {
             mLog.line("dispatcher.changed").with("service", service).with("to", dispatcher).log();
         }
-        return dispatcher.equals(mSettings.instance())
-                ? Optional.empty()
-                : Optional.of(dispatcher);
+        return dispatcher.equals(mSettings.instance()) ? Optional.empty() : Optional.of(dispatcher);
     }
 
     private Set<String> dispatchers(long nowMillis) {
@@ -209,8 +207,7 @@
 
     private void received(InstancePacket packet) {
         long nowMillis = mClockMillis.getAsLong();
-        boolean news =
-                packet.report().map(report -> mTable.heard(report, nowMillis)).orElse(false);
+        boolean news = packet.report().map(report -> mTable.heard(report, nowMillis)).orElse(false);
         mPools.received(packet, news, nowMillis);
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -10,6 +10,7 @@
 import org.magnoliapick.gateway.AddressPort;
 import org.magnoliapick.gateway.internal.http.Connector;
 import org.magnoliapick.gateway.internal.http.ServerConnections;
+import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.pool.InstancePacket;
@@ -111,6 +112,20 @@
         }
     }
 
+    /** Logs what a dispatcher believes of the upstreams' load. */
+    public void logLoad(EventLog log, long nowMillis) {
+        mPools.forEach(
+                (service, pool) -> {
+                    if (pool.scheduler().hasEngines() && dispatcher(service).isEmpty()) {
+                        log.line("pool.load")
+                                .with("service", service)
+                                .with("waiting", pool.waiting())
+                                .with("load", pool.scheduler().describeLoad(nowMillis))
+                                .log();
+                    }
+                });
+    }
+
     /** Closes idle connections that are about to lapse. */
     public void sweep(long nowMillis) {
         mLinks.values().forEach(link -> link.connections().sweep(nowMillis));
@@ -180,8 +195,7 @@
      *
      * @param wake runs when there may be messages to send
      */
-    public void dispatchers(
-            Function<String, Optional<InstanceId>> dispatchers, Runnable wake) {
+    public void dispatchers(Function<String, Optional<InstanceId>> dispatchers, Runnable wake) {
         mDispatchers = dispatchers;
         mWake = wake;
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -13,6 +13,7 @@
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.pool.PoolAction;
+import org.magnoliapick.pool.PoolCause;
 import org.magnoliapick.pool.PoolJob;
 import org.magnoliapick.pool.Ticket;
 import org.magnoliapick.relay.RelayAttempts;
@@ -36,6 +37,8 @@
     private Ticket mTicket;
     private UpstreamCall mCall;
     private Set<UpstreamId> mLost = Set.of();
+    private Placement mPlacement;
+    private long mFirstMillis = -1;
     private boolean mOver;
 
     Relay(
@@ -96,14 +99,16 @@
     void start(PoolAction.Start start) {
         mTicket = start.ticket();
         long nowMillis = mContext.nowMillis();
-        line("request.placed")
-                .with("upstream", mTicket.upstream().id())
-                .with("cause", start.cause().logName())
-                .with("waitedMillis", nowMillis - mJob.submittedMillis())
-                .with("newTokens", mTicket.newTokens())
-                .with("aheadTokens", mTicket.aheadTokens())
-                .with("attempt", mAttempts.sends() + 1)
-                .log();
+        mPlacement =
+                new Placement(
+                        start.cause(),
+                        nowMillis - mJob.submittedMillis(),
+                        mTicket.upstream().id(),
+                        mTicket.newTokens(),
+                        mTicket.aheadTokens());
+        if (mAttempts.sends() > 0) {
+            placed(line("request.placed-again")).with("attempt", mAttempts.sends() + 1).log();
+        }
         UpstreamCall call = new UpstreamCall(mContext, mRequest, this, mTicket.upstream());
         mCall = call;
         mPools.connections(mTicket.upstream())
@@ -133,7 +138,7 @@
         if (mOver) {
             return;
         }
-        line("request.caller-gone").with("sent", mCall != null).log();
+        placed(line("request.caller-gone")).with("sent", mCall != null).log();
         giveUp();
         finish(ErrorKind.CALLER_GONE);
     }
@@ -154,7 +159,7 @@
                 sent || mAttempts.mayHaveRun()
                         ? ErrorKind.DEADLINE_AFTER_START
                         : ErrorKind.INSTANCE_QUEUE_FULL;
-        line("request.timed-out")
+        placed(line("request.timed-out"))
                 .with("error", kind.wireName())
                 .with("answering", mAttempts.answering())
                 .log();
@@ -214,13 +219,19 @@
     }
 
     void answering() {
+        if (mFirstMillis < 0) {
+            mFirstMillis = tookMillis();
+        }
         mPools.answering(mJob, mTicket, mContext.nowMillis());
     }
 
     /** The attempt ended with the whole answer, which was passed on. */
     void whole() {
         release(Optional.empty());
-        line("request.whole").with("tookMillis", tookMillis()).log();
+        placed(line("request.whole"))
+                .with("firstMillis", mFirstMillis)
+                .with("tookMillis", tookMillis())
+                .log();
         mContext.counters().whole();
         over();
     }
@@ -230,7 +241,7 @@
         if (mTicket != null) {
             release(Optional.empty());
         }
-        line("request.upstream-failure").with("status", status).log();
+        placed(line("request.upstream-failure")).with("status", status).log();
         mContext.counters().failed(ErrorKind.UPSTREAM_FAILED);
         over();
     }
@@ -238,11 +249,7 @@
     /** The attempt ended without a whole answer; returns what follows. */
     RelayStep attemptEnded(AttemptEnd end) {
         long nowMillis = mContext.nowMillis();
-        line("attempt.ended")
-                .with("upstream", mTicket.upstream().id())
-                .with("end", end)
-                .with("tookMillis", tookMillis())
-                .log();
+        placed(line("attempt.ended")).with("end", end).with("tookMillis", tookMillis()).log();
         mLost = end.loses() ? Set.of(mTicket.upstream().id()) : Set.of();
         release(Optional.of(end));
         return mAttempts.after(end, mContext.budget(), nowMillis);
@@ -314,4 +321,23 @@
         return line.with("route", mRequest.route().name())
                 .with("configVersion", mRequest.configVersion());
     }
+
+    /** Adds why and where the request was placed last. */
+    private EventLog.Line placed(EventLog.Line line) {
+        if (mPlacement == null) {
+            return line.with("placed", false);
+        }
+        return line.with("upstream", mPlacement.upstream())
+                .with("cause", mPlacement.cause().logName())
+                .with("waitedMillis", mPlacement.waitedMillis())
+                .with("newTokens", mPlacement.newTokens())
+                .with("aheadTokens", mPlacement.aheadTokens());
+    }
+
+    private record Placement(
+            PoolCause cause,
+            long waitedMillis,
+            UpstreamId upstream,
+            long newTokens,
+            long aheadTokens) {}
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -25,7 +25,9 @@
     /** What a caller is told to wait where this instance knows no configuration yet. */
     private static final long UNREADY_WAIT_MILLIS = 500;
 
-    /** Numbers that a millisecond holds, so that numbers of a new life are higher than all before. */
+    /**
+     * Numbers that a millisecond holds, so that numbers of a new life are higher than all before.
+     */
     private static final long QUESTIONS_PER_MILLI = 16;
 
     private final RelayContext mContext;
@@ -120,7 +122,8 @@
                         call.prompt(),
                         call.resumeAfter(),
                         arrivedMillis,
-                        arrivedMillis - mPatience.elapsedMillis(route.get().name(), call.leftMillis()),
+                        arrivedMillis
+                                - mPatience.elapsedMillis(route.get().name(), call.leftMillis()),
                         arrivedMillis + call.leftMillis().orElse(timeoutMillis),
                         config.version());
         mContext.budget().counted(service.get(), mContext.nowMillis());
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
@@ -46,8 +46,7 @@
             } else if (each instanceof PoolMessage.Decide decide) {
                 message.addToDecisions(decision(decide));
             } else if (each instanceof PoolMessage.Withdraw withdraw) {
-                message.addToWithdrawals(
-                        new UseWithdrawal(withdraw.number(), withdraw.service()));
+                message.addToWithdrawals(new UseWithdrawal(withdraw.number(), withdraw.service()));
             }
         }
         try {
@@ -79,7 +78,9 @@
         if (message.isSetAsks()) {
             message.getAsks()
                     .forEach(
-                            each -> messages.add(new PoolMessage.Ask(to, job(each, from, nowMillis))));
+                            each ->
+                                    messages.add(
+                                            new PoolMessage.Ask(to, job(each, from, nowMillis))));
         }
         if (message.isSetDecisions()) {
             for (UseDecision each : message.getDecisions()) {
@@ -88,8 +89,7 @@
         }
         if (message.isSetWithdrawals()) {
             for (UseWithdrawal each : message.getWithdrawals()) {
-                messages.add(
-                        new PoolMessage.Withdraw(to, each.getServiceName(), each.getNumber()));
+                messages.add(new PoolMessage.Withdraw(to, each.getServiceName(), each.getNumber()));
             }
         }
         return new InstancePacket(
