--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolJob.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolJob.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
@@ -14,6 +15,7 @@
  * @param id the caller's identifier of the request
  * @param service the service that it goes to
  * @param account whose share it uses
+ * @param domain the failure domain of the instance that asks
  * @param prompt its size
  * @param objectiveMillis how long its answer may take to be on time
  * @param onTimeMillis until when its answer, or of streams the first event, is on time
@@ -30,6 +32,7 @@
         String id,
         String service,
         WorkspaceId account,
+        FailureDomain domain,
         Prompt prompt,
         long objectiveMillis,
         long onTimeMillis,
@@ -53,6 +56,7 @@
     /** Returns the question of a request at this instance. */
     public static PoolJob of(
             RelayRequest request,
+            FailureDomain domain,
             Set<UpstreamId> excluded,
             Set<UpstreamId> lost,
             boolean underWay,
@@ -63,6 +67,7 @@
                 request.id(),
                 request.service(),
                 request.workspace().orElse(OPEN),
+                domain,
                 request.prompt(),
                 request.route().objectiveMillis(),
                 request.onTimeMillis(),
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamHealth.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamHealth.java
@@ -11,6 +11,9 @@
     /** The longest time without work, in milliseconds. */
     private static final long LONGEST_PAUSE_MILLIS = 2_000;
 
+    /** How long after a trial request the next one goes, unless the first succeeds. */
+    private static final long TRIAL_MILLIS = 500;
+
     /** The weight of one attempt in the share of attempts that failed. */
     private static final double FAILURE_WEIGHT = 0.1;
 
@@ -38,6 +41,13 @@
         mFailureShare -= FAILURE_WEIGHT * mFailureShare;
     }
 
+    /** Notes that the upstream gets a request: after a loss, one at a time until one succeeds. */
+    void tried(long nowMillis) {
+        if (mLostInRow > 0) {
+            mPausedUntilMillis = nowMillis + TRIAL_MILLIS;
+        }
+    }
+
     /** Returns whether the upstream gets work now. */
     boolean takesWork(long nowMillis) {
         return nowMillis >= mPausedUntilMillis;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -80,6 +80,7 @@
         mContext =
                 new RelayContext(
                         mLoop,
+                        settings.domain(),
                         clockMillis,
                         dialect,
                         new FleetRetryBudget(
@@ -92,8 +93,7 @@
         mPools =
                 new Pools(
                         mConnector,
-                        new PoolSettings(
-                                settings.domain(), settings.shareWindowMillis(), MAX_WAITING),
+                        new PoolSettings(settings.shareWindowMillis(), MAX_WAITING),
                         mDirectory,
                         mRelays::carryOut);
         mRelays.pools(mPools);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ServerConnections.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ServerConnections.java
@@ -8,7 +8,7 @@
 /** The connections to one server: the one used last is used first, the others are let lapse. */
 public final class ServerConnections {
     /** How long opening a connection may take, in milliseconds: some round trips and a retry. */
-    private static final int OPEN_TIMEOUT_MILLIS = 600;
+    private static final int OPEN_TIMEOUT_MILLIS = 300;
 
     private final Connector mConnector;
     private final AddressPort mAddress;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -84,6 +84,7 @@
         mJob =
                 PoolJob.of(
                         mRequest,
+                        mContext.domain(),
                         mAttempts.tried(),
                         mLost,
                         mAttempts.answering(),
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
@@ -5,12 +5,14 @@
 import java.util.function.LongSupplier;
 import org.magnoliapick.gateway.Dialect;
 import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.relay.FleetRetryBudget;
 import org.magnoliapick.route.TrafficConfig;
 
 /** What all relays of an instance share. Everything runs on the one event loop. */
 public final class RelayContext {
     private final EventLoop mLoop;
+    private final FailureDomain mDomain;
     private final LongSupplier mClockMillis;
     private final Dialect mDialect;
     private final FleetRetryBudget mBudget;
@@ -21,11 +23,13 @@
     /** Creates a context without a configuration. */
     public RelayContext(
             EventLoop loop,
+            FailureDomain domain,
             LongSupplier clockMillis,
             Dialect dialect,
             FleetRetryBudget budget,
             EventLog log) {
         mLoop = loop;
+        mDomain = domain;
         mClockMillis = clockMillis;
         mDialect = dialect;
         mBudget = budget;
@@ -56,6 +60,10 @@
         return mLoop;
     }
 
+    FailureDomain domain() {
+        return mDomain;
+    }
+
     Dialect dialect() {
         return mDialect;
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -29,6 +29,12 @@
     /** How long a resumable stream may pause between events before it is resumed elsewhere. */
     private static final int SILENT_PAUSES = 4;
 
+    /** After how many objectives a resumable stream without a first event is asked elsewhere. */
+    private static final int FIRST_OBJECTIVES = 2;
+
+    /** The shortest silence after which a stream is asked elsewhere, in milliseconds. */
+    private static final long LEAST_SILENT_MILLIS = 800;
+
     /** Statuses by which a caller is promised that its request did not run. */
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
@@ -119,11 +125,14 @@
 
     /** Looks whether a resumable stream has gone silent. */
     void tick(long nowMillis) {
-        if (mEvents == null || !mRequest.route().resumable()) {
+        if (!mSent || !mRequest.route().resumable() || !mRequest.route().kind().streamed()) {
             return;
         }
-        long silentMillis = SILENT_PAUSES * Math.max(200, mRequest.route().pauseObjectiveMillis());
-        if (nowMillis - mLastPieceMillis > silentMillis) {
+        long silentMillis =
+                mEvents == null
+                        ? FIRST_OBJECTIVES * mRequest.route().objectiveMillis()
+                        : SILENT_PAUSES * mRequest.route().pauseObjectiveMillis();
+        if (nowMillis - mLastPieceMillis > Math.max(LEAST_SILENT_MILLIS, silentMillis)) {
             mConnection.cancel();
             failed(AttemptEnd.TIMEOUT);
         }
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
@@ -10,6 +10,7 @@
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
@@ -116,7 +117,8 @@
                         parts,
                         job.objectiveMillis(),
                         job.onTimeMillis() - nowMillis,
-                        job.rank());
+                        job.rank(),
+                        job.domain().value());
         if (job.returned()) {
             ask.setReturned(true);
         }
@@ -139,6 +141,7 @@
                 ask.getRequestId(),
                 ask.getServiceName(),
                 new WorkspaceId(ask.getAccount()),
+                new FailureDomain(ask.getDomain()),
                 new Prompt(ask.getPromptTokens(), ask.getOutputTokens(), parts),
                 ask.getObjectiveMillis(),
                 nowMillis + ask.getOnTimeInMillis(),
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseAsk.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseAsk.java
@@ -23,6 +23,7 @@
   private static final org.apache.thrift.protocol.TField OBJECTIVE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("objectiveMillis", org.apache.thrift.protocol.TType.I64, (short)8);
   private static final org.apache.thrift.protocol.TField ON_TIME_IN_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("onTimeInMillis", org.apache.thrift.protocol.TType.I64, (short)9);
   private static final org.apache.thrift.protocol.TField RANK_FIELD_DESC = new org.apache.thrift.protocol.TField("rank", org.apache.thrift.protocol.TType.I32, (short)10);
+  private static final org.apache.thrift.protocol.TField DOMAIN_FIELD_DESC = new org.apache.thrift.protocol.TField("domain", org.apache.thrift.protocol.TType.STRING, (short)15);
   private static final org.apache.thrift.protocol.TField RETURNED_FIELD_DESC = new org.apache.thrift.protocol.TField("returned", org.apache.thrift.protocol.TType.BOOL, (short)11);
   private static final org.apache.thrift.protocol.TField UNDER_WAY_FIELD_DESC = new org.apache.thrift.protocol.TField("underWay", org.apache.thrift.protocol.TType.BOOL, (short)12);
   private static final org.apache.thrift.protocol.TField EXCLUDED_FIELD_DESC = new org.apache.thrift.protocol.TField("excluded", org.apache.thrift.protocol.TType.LIST, (short)13);
@@ -41,6 +42,7 @@
   public long objectiveMillis; // required
   public long onTimeInMillis; // required
   public int rank; // required
+  public @org.apache.thrift.annotation.Nullable java.lang.String domain; // required
   public boolean returned; // optional
   public boolean underWay; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> excluded; // optional
@@ -58,6 +60,7 @@
     OBJECTIVE_MILLIS((short)8, "objectiveMillis"),
     ON_TIME_IN_MILLIS((short)9, "onTimeInMillis"),
     RANK((short)10, "rank"),
+    DOMAIN((short)15, "domain"),
     RETURNED((short)11, "returned"),
     UNDER_WAY((short)12, "underWay"),
     EXCLUDED((short)13, "excluded"),
@@ -97,6 +100,8 @@
           return ON_TIME_IN_MILLIS;
         case 10: // RANK
           return RANK;
+        case 15: // DOMAIN
+          return DOMAIN;
         case 11: // RETURNED
           return RETURNED;
         case 12: // UNDER_WAY
@@ -182,6 +187,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.RANK, new org.apache.thrift.meta_data.FieldMetaData("rank", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.DOMAIN, new org.apache.thrift.meta_data.FieldMetaData("domain", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.RETURNED, new org.apache.thrift.meta_data.FieldMetaData("returned", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.UNDER_WAY, new org.apache.thrift.meta_data.FieldMetaData("underWay", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
@@ -209,7 +216,8 @@
     java.util.List<UsePart> parts,
     long objectiveMillis,
     long onTimeInMillis,
-    int rank)
+    int rank,
+    java.lang.String domain)
   {
     this();
     this.number = number;
@@ -228,6 +236,7 @@
     setOnTimeInMillisIsSet(true);
     this.rank = rank;
     setRankIsSet(true);
+    this.domain = domain;
   }
 
   /**
@@ -257,6 +266,9 @@
     this.objectiveMillis = other.objectiveMillis;
     this.onTimeInMillis = other.onTimeInMillis;
     this.rank = other.rank;
+    if (other.isSetDomain()) {
+      this.domain = other.domain;
+    }
     this.returned = other.returned;
     this.underWay = other.underWay;
     if (other.isSetExcluded()) {
@@ -292,6 +304,7 @@
     this.onTimeInMillis = 0;
     setRankIsSet(false);
     this.rank = 0;
+    this.domain = null;
     setReturnedIsSet(false);
     this.returned = false;
     setUnderWayIsSet(false);
@@ -554,6 +567,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RANK_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getDomain() {
+    return this.domain;
+  }
+
+  public UseAsk setDomain(@org.apache.thrift.annotation.Nullable java.lang.String domain) {
+    this.domain = domain;
+    return this;
+  }
+
+  public void unsetDomain() {
+    this.domain = null;
+  }
+
+  /** Returns true if field domain is set (has been assigned a value) and false otherwise */
+  public boolean isSetDomain() {
+    return this.domain != null;
+  }
+
+  public void setDomainIsSet(boolean value) {
+    if (!value) {
+      this.domain = null;
+    }
+  }
+
   public boolean isReturned() {
     return this.returned;
   }
@@ -765,6 +803,14 @@
       }
       break;
 
+    case DOMAIN:
+      if (value == null) {
+        unsetDomain();
+      } else {
+        setDomain((java.lang.String)value);
+      }
+      break;
+
     case RETURNED:
       if (value == null) {
         unsetReturned();
@@ -834,6 +880,9 @@
     case RANK:
       return getRank();
 
+    case DOMAIN:
+      return getDomain();
+
     case RETURNED:
       return isReturned();
 
@@ -878,6 +927,8 @@
       return isSetOnTimeInMillis();
     case RANK:
       return isSetRank();
+    case DOMAIN:
+      return isSetDomain();
     case RETURNED:
       return isSetReturned();
     case UNDER_WAY:
@@ -993,6 +1044,15 @@
         return false;
     }
 
+    boolean this_present_domain = true && this.isSetDomain();
+    boolean that_present_domain = true && that.isSetDomain();
+    if (this_present_domain || that_present_domain) {
+      if (!(this_present_domain && that_present_domain))
+        return false;
+      if (!this.domain.equals(that.domain))
+        return false;
+    }
+
     boolean this_present_returned = true && this.isSetReturned();
     boolean that_present_returned = true && that.isSetReturned();
     if (this_present_returned || that_present_returned) {
@@ -1064,6 +1124,10 @@
 
     hashCode = hashCode * 8191 + rank;
 
+    hashCode = hashCode * 8191 + ((isSetDomain()) ? 131071 : 524287);
+    if (isSetDomain())
+      hashCode = hashCode * 8191 + domain.hashCode();
+
     hashCode = hashCode * 8191 + ((isSetReturned()) ? 131071 : 524287);
     if (isSetReturned())
       hashCode = hashCode * 8191 + ((returned) ? 131071 : 524287);
@@ -1191,6 +1255,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetDomain(), other.isSetDomain());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDomain()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.domain, other.domain);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetReturned(), other.isSetReturned());
     if (lastComparison != 0) {
       return lastComparison;
@@ -1310,6 +1384,14 @@
     sb.append("rank:");
     sb.append(this.rank);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("domain:");
+    if (this.domain == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.domain);
+    }
+    first = false;
     if (isSetReturned()) {
       if (!first) sb.append(", ");
       sb.append("returned:");
@@ -1366,6 +1448,9 @@
     // alas, we cannot check 'objectiveMillis' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'onTimeInMillis' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'rank' because it's a primitive and you chose the non-beans generator.
+    if (domain == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'domain' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -1498,6 +1583,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 15: // DOMAIN
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.domain = iprot.readString();
+              struct.setDomainIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           case 11: // RETURNED
             if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
               struct.returned = iprot.readBool();
@@ -1667,6 +1760,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.domain != null) {
+        oprot.writeFieldBegin(DOMAIN_FIELD_DESC);
+        oprot.writeString(struct.domain);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1701,6 +1799,7 @@
       oprot.writeI64(struct.objectiveMillis);
       oprot.writeI64(struct.onTimeInMillis);
       oprot.writeI32(struct.rank);
+      oprot.writeString(struct.domain);
       java.util.BitSet optionals = new java.util.BitSet();
       if (struct.isSetReturned()) {
         optionals.set(0);
@@ -1774,6 +1873,8 @@
       struct.setOnTimeInMillisIsSet(true);
       struct.rank = iprot.readI32();
       struct.setRankIsSet(true);
+      struct.domain = iprot.readString();
+      struct.setDomainIsSet(true);
       java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.returned = iprot.readBool();
--- a/magnoliapick-rpc/src/main/thrift/use.thrift
+++ b/magnoliapick-rpc/src/main/thrift/use.thrift
@@ -56,6 +56,7 @@
   8: required i64 objectiveMillis
   9: required i64 onTimeInMillis
   10: required i32 rank
+  15: required string domain
   11: optional bool returned
   12: optional bool underWay
   13: optional list<string> excluded
