Revert the pass over the queue; test routes, relay, pool, packets, path, log, platform

Change: placement is as before it; half-open trials, the asker's failure domain and the shorter opening stay. The tests found that lines pending at a stop were lost; they are written now.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Placing.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Placing.java
@@ -1,13 +1,13 @@
 package org.magnoliapick.pool;
 
+import java.util.Optional;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.route.EngineSpec;
 
 /** Weighs one upstream for one request. */
 final class Placing {
     /**
-     * The most of an engine's slots that are filled from here. The rest would add little to what it
-     * generates in all, and slow every stream on it.
+     * The most of an engine's slots that are filled from here, so that its own queue stays empty.
      */
     private static final double SLOTS_SHARE = 0.7;
 
@@ -20,18 +20,6 @@
      */
     private static final double AHEAD_MILLIS = 80;
 
-    /** How long it takes until a slot of a full engine becomes free, in milliseconds. */
-    private static final double SLOT_MILLIS = 40;
-
-    /** The time of a first event that is not reading, in milliseconds: network and one step. */
-    private static final long FIRST_EVENT_BASE_MILLIS = 12;
-
-    /**
-     * What reading a token again costs that is kept elsewhere, in milliseconds of waiting: it delays
-     * all others, and operators pay for it.
-     */
-    private static final double READ_AGAIN_MILLIS = 0.1;
-
     /** What leaving the own failure domain costs, in milliseconds of waiting. */
     private static final double OTHER_DOMAIN_MILLIS = 25;
 
@@ -46,43 +34,34 @@
 
     private Placing() {}
 
-    /**
-     * Weighs an engine.
-     *
-     * @param newTokens how many tokens of the prompt it would have to read
-     * @param before the waiting requests that go to it before this one
-     */
-    static Choice engine(
-            PoolJob job,
-            UpstreamLoad load,
-            long newTokens,
-            Before before,
-            EngineSpec engine,
-            long nowMillis) {
-        int slots = (int) Math.max(1, engine.slots() * SLOTS_SHARE);
-        int running = load.running(nowMillis) + before.requests();
+    static Optional<Choice> engine(Weighing weighing, EngineSpec engine, long nowMillis) {
+        PoolJob job = weighing.job();
+        UpstreamLoad load = weighing.load();
+        long newTokens = weighing.newTokens();
+        boolean slotsLeft = load.running(nowMillis) < Math.max(1, engine.slots() * SLOTS_SHARE);
         boolean memoryLeft =
                 load.memoryTokens(nowMillis) == 0
                         || load.memoryTokens(nowMillis) + memoryTokens(job)
                                 <= engine.memoryTokens() * MEMORY_SHARE;
-        double perMilli = load.tokensPerMilli(nowMillis);
-        double aheadMillis = (load.readingTokens(nowMillis) + before.newTokens()) / perMilli;
-        double slotMillis = Math.max(0, running + 1 - slots) * SLOT_MILLIS;
-        double readMillis = newTokens / perMilli;
-        double firstMillis = FIRST_EVENT_BASE_MILLIS + aheadMillis + slotMillis + readMillis;
-        double cost = firstMillis + READ_AGAIN_MILLIS * newTokens + common(job, load);
-        boolean room = running < slots && memoryLeft && aheadMillis <= AHEAD_MILLIS;
-        return new Choice(load, newTokens, (long) firstMillis, cost, room);
+        boolean soon = load.aheadMillis(nowMillis) <= AHEAD_MILLIS;
+        if (!slotsLeft || !memoryLeft || !soon) {
+            return Optional.empty();
+        }
+        double readMillis = newTokens / load.tokensPerMilli(nowMillis);
+        long firstMillis = load.firstEventMillis(newTokens, nowMillis);
+        double cost = firstMillis + readMillis + common(job, load);
+        return Optional.of(new Choice(load, newTokens, cost));
     }
 
-    static Choice plain(PoolJob job, UpstreamLoad load, Before before, long nowMillis) {
-        int running = load.running(nowMillis) + before.requests();
+    static Optional<Choice> plain(PoolJob job, UpstreamLoad load, long nowMillis) {
+        int running = load.running(nowMillis);
         int slots = load.upstream().slots();
-        boolean room = running < slots * (1 + PLAIN_QUEUE_SHARE);
+        if (running >= slots * (1 + PLAIN_QUEUE_SHARE)) {
+            return Optional.empty();
+        }
         double queued = Math.max(0, running + 1 - slots) * 4.0;
-        double firstMillis = (running + queued) * PLAIN_RUNNING_MILLIS;
-        double cost = firstMillis + common(job, load);
-        return new Choice(load, 0, (long) firstMillis, cost, room);
+        double cost = (running + queued) * PLAIN_RUNNING_MILLIS + common(job, load);
+        return Optional.of(new Choice(load, 0, cost));
     }
 
     /** Returns how much memory a request may come to fill, in tokens. */
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.request.AttemptEnd;
 import org.magnoliapick.route.EngineSpec;
 import org.magnoliapick.route.ServiceSpec;
@@ -21,6 +22,15 @@
     /** The part of its objective that a request may wait before it is refused as too late. */
     private static final double FREE_WAIT_SHARE = 0.125;
 
+    /** The part of its objective that a request waits for an upstream that keeps its prompt. */
+    private static final double KEPT_WAIT_SHARE = 0.35;
+
+    /** Tokens that are not worth waiting for: a few milliseconds of reading. */
+    private static final long NEGLIGIBLE_TOKENS = 512;
+
+    /** How many requests that fit nowhere are passed over, such as those too large for now. */
+    private static final int MOST_PASSED_OVER = 40;
+
     /** The part of its time that an engine reads prompts when it is full. */
     private static final double READING_SHARE = 0.7;
 
@@ -199,56 +209,60 @@
     /** Starts what has room and refuses what will be too late. */
     public List<PoolAction> tick(long nowMillis) {
         List<PoolAction> actions = new ArrayList<>();
-        while (pass(actions, nowMillis)) {
+        while (startNext(actions, nowMillis)) {
             // Each start changes the order of what is left.
         }
+        refuseLate(actions, nowMillis);
         return actions;
     }
 
-    /** Looks at all in order until one starts; returns whether one did. */
-    private boolean pass(List<PoolAction> actions, long nowMillis) {
-        PlacementPass pass = new PlacementPass(mLoads.values(), mHomes, mService, nowMillis);
+    private boolean startNext(List<PoolAction> actions, long nowMillis) {
+        int passedOver = 0;
         for (PoolJob job : mWaiting.order(mServed, nowMillis)) {
-            Optional<Choice> best = pass.best(job);
-            boolean turn = job.underWay() || isTurn(job, nowMillis);
-            if (turn && best.isPresent() && best.get().room()) {
-                mWaiting.remove(job);
-                actions.add(start(job, best.get(), nowMillis));
-                return true;
+            if (passedOver > MOST_PASSED_OVER || !(job.underWay() || isTurn(job, nowMillis))) {
+                return false;
             }
-            Optional<PoolCause> cause = tooLate(job, best, nowMillis);
-            if (cause.isPresent()) {
+            Optional<PoolAction> action = place(job, nowMillis);
+            if (action.isPresent()) {
                 mWaiting.remove(job);
-                actions.add(refuse(job, cause.get(), nowMillis));
-            } else {
-                best.ifPresent(pass::waitsFor);
+                actions.add(action.get());
+                return true;
             }
+            passedOver++;
         }
         return false;
     }
 
-    private static Optional<PoolCause> tooLate(
-            PoolJob job, Optional<Choice> best, long nowMillis) {
-        long freeWait = (long) (job.objectiveMillis() * FREE_WAIT_SHARE);
-        if (job.underWay() || nowMillis - job.submittedMillis() < freeWait) {
-            return Optional.empty();
-        }
-        if (best.isEmpty()) {
-            return Optional.of(PoolCause.NO_UPSTREAM);
+    private void refuseLate(List<PoolAction> actions, long nowMillis) {
+        long tokensBefore = 0;
+        for (PoolJob job : mWaiting.order(mServed, nowMillis)) {
+            long waitMillis = waitMillis(tokensBefore, nowMillis);
+            Optional<PoolAction> action = refuseLate(job, waitMillis, nowMillis);
+            if (action.isPresent()) {
+                mWaiting.remove(job);
+                actions.add(action.get());
+            } else {
+                tokensBefore += job.prompt().promptTokens();
+            }
         }
-        return nowMillis + best.get().firstMillis() > job.onTimeMillis()
-                ? Optional.of(PoolCause.TOO_LATE)
-                : Optional.empty();
     }
 
-    /** Returns how long the upstreams take to read what waits over the fleet, in milliseconds. */
-    private long queueMillis(long nowMillis) {
+    /**
+     * Returns how long it takes until a request that waits here gets its turn, in milliseconds.
+     *
+     * @param tokensBefore tokens of the requests that go before it here; the others' queues are
+     *     taken to hold as much before it as this one, in proportion
+     */
+    private long waitMillis(long tokensBefore, long nowMillis) {
+        double here = Math.max(1, mWaiting.tokens());
+        double fleet = (here + mLevels.waitingTokens(nowMillis)) / here;
         double perMilli = 0;
         for (UpstreamLoad load : mLoads.values()) {
             perMilli += load.tokensPerMilli(nowMillis) * READING_SHARE;
         }
-        long tokens = mWaiting.tokens() + mLevels.waitingTokens(nowMillis);
-        return perMilli == 0 ? 0 : (long) (tokens / perMilli);
+        return mService.engine().isEmpty() || perMilli == 0
+                ? 0
+                : (long) (tokensBefore * fleet / perMilli);
     }
 
     /** Returns whether no other instance holds a request of a workspace that was served less. */
@@ -256,6 +270,60 @@
         return mServed.of(job.account(), nowMillis) <= mLevels.leastTokens(nowMillis);
     }
 
+    /**
+     * Starts a request at the best upstream that has room. While there is time, it goes only where
+     * most of what it shares with others is kept: reading that again costs all who wait.
+     */
+    private Optional<PoolAction> place(PoolJob job, long nowMillis) {
+        long tokensLimit = Long.MAX_VALUE;
+        if (hasEngines() && mayWaitForKept(job, nowMillis)) {
+            tokensLimit = fewestNewTokens(job) + NEGLIGIBLE_TOKENS;
+        }
+        Choice best = null;
+        for (UpstreamLoad load : mLoads.values()) {
+            Optional<Choice> choice = choice(job, load, nowMillis);
+            if (choice.isPresent() && choice.get().newTokens() > tokensLimit) {
+                continue;
+            }
+            if (choice.isPresent() && (best == null || choice.get().cost() < best.cost())) {
+                best = choice.get();
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(start(job, best, nowMillis));
+    }
+
+    private static boolean mayWaitForKept(PoolJob job, long nowMillis) {
+        long waitedMillis = nowMillis - job.submittedMillis();
+        return !job.underWay() && waitedMillis < job.objectiveMillis() * KEPT_WAIT_SHARE;
+    }
+
+    private long fewestNewTokens(PoolJob job) {
+        long fewest = Long.MAX_VALUE;
+        for (UpstreamLoad load : mLoads.values()) {
+            fewest = Math.min(fewest, weigh(job, load).newTokens());
+        }
+        return fewest;
+    }
+
+    private Optional<Choice> choice(PoolJob job, UpstreamLoad load, long nowMillis) {
+        boolean excluded =
+                job.excluded().contains(load.upstream().id())
+                        && job.excluded().size() < mLoads.size();
+        if (excluded || !load.health().takesWork(nowMillis)) {
+            return Optional.empty();
+        }
+        return mService.engine().isPresent()
+                ? Placing.engine(weigh(job, load), mService.engine().get(), nowMillis)
+                : Placing.plain(job, load, nowMillis);
+    }
+
+    private Weighing weigh(PoolJob job, UpstreamLoad load) {
+        Prompt prompt = job.prompt();
+        boolean home = mHomes.home(prompt.parts()).filter(load.upstream().id()::equals).isPresent();
+        long newTokens = load.newTokens(prompt, home);
+        return new Weighing(job, load, newTokens);
+    }
+
     private PoolAction start(PoolJob job, Choice choice, long nowMillis) {
         UpstreamLoad load = choice.load();
         load.health().tried(nowMillis);
@@ -280,6 +348,24 @@
         return new PoolAction.Start(job, ticket, mGrants, cause);
     }
 
+    private Optional<PoolAction> refuseLate(PoolJob job, long waitMillis, long nowMillis) {
+        long freeWait = (long) (job.objectiveMillis() * FREE_WAIT_SHARE);
+        if (job.underWay() || nowMillis - job.submittedMillis() < freeWait) {
+            return Optional.empty();
+        }
+        if (mLoads.isEmpty()) {
+            return Optional.of(refuse(job, PoolCause.NO_UPSTREAM, nowMillis));
+        }
+        long firstMillis = Long.MAX_VALUE;
+        for (UpstreamLoad load : mLoads.values()) {
+            long newTokens = weigh(job, load).newTokens();
+            firstMillis = Math.min(firstMillis, load.firstEventMillis(newTokens, nowMillis));
+        }
+        return nowMillis + waitMillis + firstMillis > job.onTimeMillis()
+                ? Optional.of(refuse(job, PoolCause.TOO_LATE, nowMillis))
+                : Optional.empty();
+    }
+
     private PoolAction refuse(PoolJob job, PoolCause cause, long nowMillis) {
         return new PoolAction.Refuse(job, retryAfterMillis(job, nowMillis), cause);
     }
@@ -293,7 +379,7 @@
         double level = Math.max(1, Math.min(served, mLevels.leastTokens(nowMillis)));
         double aheadMillis =
                 served <= level ? 0 : mSettings.shareWindowMillis() * Math.log(served / level);
-        double queueMillis = queueMillis(nowMillis);
+        double queueMillis = waitMillis(mWaiting.tokens(), nowMillis);
         double leastMillis = job.objectiveMillis();
         double spread = 0.75 + 0.5 * ((job.id().hashCode() & 0xff) / 256.0);
         return (long) (spread * Math.max(leastMillis, Math.max(aheadMillis, queueMillis)));
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -169,6 +169,17 @@
         return tokens;
     }
 
+    /** Returns the expected time to the first event of a prompt sent now, in milliseconds. */
+    long firstEventMillis(long newTokens, long nowMillis) {
+        double reading = (readingTokens(nowMillis) + newTokens) / tokensPerMilli(nowMillis);
+        return FIRST_EVENT_BASE_MILLIS + (long) reading;
+    }
+
+    /** Returns how long the upstream reads before it gets to a prompt sent now. */
+    double aheadMillis(long nowMillis) {
+        return readingTokens(nowMillis) / tokensPerMilli(nowMillis);
+    }
+
     /** Returns the speed of reading: the mean of what the instances saw. */
     double tokensPerMilli(long nowMillis) {
         double sum = mSpeedSeen ? mTokensPerMilli : 0;
--- /dev/null
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
@@ -0,0 +1,76 @@
+package org.magnoliapick.pool;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.relay.Prompt;
+import org.magnoliapick.relay.PromptPart;
+import org.magnoliapick.route.EngineSpec;
+import org.magnoliapick.route.ServiceSpec;
+
+/** Requests and engines for tests. */
+final class Jobs {
+    static final FailureDomain DOMAIN = new FailureDomain("a");
+    static final ServiceSpec ENGINES =
+            new ServiceSpec("s", 100, Optional.of(new EngineSpec(10, 100_000, 5)));
+
+    private Jobs() {}
+
+    static ListedUpstream upstream(String name) {
+        return new ListedUpstream(new UpstreamId(name), "s", "10.0.0.1:80", DOMAIN, 10, false, 1);
+    }
+
+    static PoolScheduler scheduler(String... upstreams) {
+        PoolScheduler scheduler = new PoolScheduler(ENGINES, new PoolSettings(4_000, 100));
+        scheduler.listed(List.of(upstreams).stream().map(Jobs::upstream).toList());
+        return scheduler;
+    }
+
+    /** Returns a request of a workspace that shares a part named by its subject with others. */
+    static PoolJob job(long number, String workspace, String subject, int tokens, long nowMillis) {
+        List<PromptPart> parts =
+                List.of(
+                        new PromptPart(subject, tokens / 2),
+                        new PromptPart("own-" + number, tokens - tokens / 2));
+        return new PoolJob(
+                "request-" + number,
+                "s",
+                new WorkspaceId(workspace),
+                DOMAIN,
+                new Prompt(tokens, 100, parts),
+                400,
+                nowMillis + 400,
+                false,
+                Set.of(),
+                Set.of(),
+                false,
+                1,
+                nowMillis,
+                Optional.empty(),
+                number);
+    }
+
+    /** Returns the same request as another instance asks it. */
+    static PoolJob asked(PoolJob job, String asker) {
+        return new PoolJob(
+                job.id(),
+                job.service(),
+                job.account(),
+                job.domain(),
+                job.prompt(),
+                job.objectiveMillis(),
+                job.onTimeMillis(),
+                job.returned(),
+                job.excluded(),
+                job.lost(),
+                job.underWay(),
+                job.rank(),
+                job.submittedMillis(),
+                Optional.of(new InstanceId(asker)),
+                job.number());
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolSchedulerTest.java
@@ -0,0 +1,99 @@
+package org.magnoliapick.pool;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.request.AttemptEnd;
+
+final class PoolSchedulerTest {
+    private static PoolAction.Start start(List<PoolAction> actions) {
+        assertThat(actions).hasSize(1);
+        return (PoolAction.Start) actions.get(0);
+    }
+
+    @Test
+    void startsAtOnceWhereThereIsRoom() {
+        PoolScheduler pool = Jobs.scheduler("u");
+        assertThat(start(pool.submit(Jobs.job(1, "w", "p", 1_000, 0), 0)).cause())
+                .isEqualTo(PoolCause.ROOM);
+    }
+
+    @Test
+    void letsLittleBeReadAheadAndStartsTheLeastServedNext() {
+        PoolScheduler pool = Jobs.scheduler("u");
+        Ticket first = start(pool.submit(Jobs.job(1, "large", "p", 9_000, 0), 0)).ticket();
+        assertThat(pool.submit(Jobs.job(2, "large", "p", 1_000, 1), 1)).isEmpty();
+        assertThat(pool.submit(Jobs.job(3, "small", "q", 1_000, 2), 2)).isEmpty();
+        pool.answering(first, 30);
+        List<PoolAction> next = pool.tick(30);
+        assertThat(next.get(0).job().account().value()).isEqualTo("small");
+    }
+
+    @Test
+    void waitsForTheUpstreamThatKeepsThePromptForATime() {
+        PoolScheduler pool = Jobs.scheduler("u", "v");
+        Ticket first = start(pool.submit(Jobs.job(1, "w", "p", 9_000, 0), 0)).ticket();
+        assertThat(pool.submit(Jobs.job(2, "w", "p", 9_000, 1), 1)).isEmpty();
+        assertThat(pool.tick(100)).isEmpty();
+        pool.answering(first, 110);
+        assertThat(start(pool.tick(110)).ticket().upstream()).isEqualTo(first.upstream());
+    }
+
+    @Test
+    void refusesWhatWouldBeTooLateAfterAnEighthOfItsObjective() {
+        PoolScheduler pool = Jobs.scheduler("u");
+        pool.submit(Jobs.job(1, "w", "p", 60_000, 0), 0);
+        assertThat(pool.submit(Jobs.job(2, "w", "q", 1_000, 1), 1)).isEmpty();
+        assertThat(pool.tick(50)).isEmpty();
+        List<PoolAction> refused = pool.tick(51);
+        assertThat(refused).hasSize(1);
+        assertThat(((PoolAction.Refuse) refused.get(0)).cause()).isEqualTo(PoolCause.TOO_LATE);
+    }
+
+    @Test
+    void neverFillsMoreThanItsShareOfTheSlots() {
+        PoolScheduler pool = Jobs.scheduler("u");
+        int started = 0;
+        for (int i = 0; i < 20; i++) {
+            for (PoolAction action : pool.submit(Jobs.job(i, "w", "p" + i, 10, i), i)) {
+                started += action instanceof PoolAction.Start ? 1 : 0;
+            }
+        }
+        assertThat(started).isEqualTo(7);
+    }
+
+    @Test
+    void countsWhatOtherInstancesRun() {
+        PoolScheduler pool = Jobs.scheduler("u");
+        UpstreamUse use = new UpstreamUse(new UpstreamId("u"), 7, 0, 0, 0);
+        pool.peer(
+                new InstanceId("other"),
+                new PoolUse("s", List.of(use), Map.of(), 0, OptionalLong.empty()),
+                0);
+        assertThat(pool.submit(Jobs.job(1, "w", "p", 10, 1), 1)).isEmpty();
+        pool.peer(
+                new InstanceId("other"),
+                new PoolUse("s", List.of(), Map.of(), 0, OptionalLong.empty()),
+                2);
+        assertThat(pool.tick(2)).hasSize(1);
+    }
+
+    @Test
+    void triesALostUpstreamWithOneRequestAtATime() {
+        PoolScheduler pool = Jobs.scheduler("u");
+        Ticket lost = start(pool.submit(Jobs.job(1, "w", "p", 10, 0), 0)).ticket();
+        pool.ended(lost, Optional.of(AttemptEnd.NOT_SENT), 0);
+        pool.submit(Jobs.job(2, "w", "p", 10, 240), 240);
+        pool.submit(Jobs.job(3, "w", "p", 10, 241), 241);
+        List<PoolAction> starts = new ArrayList<>(pool.tick(251));
+        assertThat(starts).hasSize(1);
+        assertThat(pool.tick(260)).isEmpty();
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/UpstreamDirectoryTest.java
@@ -0,0 +1,66 @@
+package org.magnoliapick.pool;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.lib.UpstreamId;
+
+final class UpstreamDirectoryTest {
+    private static final UpstreamId ID = new UpstreamId("u");
+
+    private final UpstreamDirectory mDirectory = new UpstreamDirectory();
+
+    private static ListedUpstream upstream(boolean leaving, long bornMillis) {
+        return new ListedUpstream(
+                ID, "s", "10.0.0.1:80", new FailureDomain("a"), 6, leaving, bornMillis);
+    }
+
+    @Test
+    void takesALeavingOneOutAtOnceAndForItsLife() {
+        mDirectory.put(upstream(false, 1), 0, 0);
+        assertThat(mDirectory.put(upstream(true, 1), 1, 10)).isTrue();
+        mDirectory.put(upstream(false, 1), 2, 20);
+        assertThat(mDirectory.usable("s")).isEmpty();
+        mDirectory.put(upstream(false, 2), 3, 30);
+        assertThat(mDirectory.usable("s")).hasSize(1);
+    }
+
+    @Test
+    void ignoresAStalePage() {
+        mDirectory.put(upstream(true, 1), 5, 0);
+        assertThat(mDirectory.put(upstream(false, 1), 4, 10)).isFalse();
+        assertThat(mDirectory.usable("s")).isEmpty();
+    }
+
+    @Test
+    void keepsWhatEndsWhileTheListIsOutUntilItHadTimeToComeBack() {
+        mDirectory.put(upstream(false, 1), 0, 0);
+        mDirectory.listLost(100);
+        mDirectory.listBack(5_000);
+        mDirectory.remove(ID, 1, 5_010);
+        assertThat(mDirectory.settle(6_999)).isFalse();
+        assertThat(mDirectory.usable("s")).hasSize(1);
+        assertThat(mDirectory.settle(7_000)).isTrue();
+        assertThat(mDirectory.usable("s")).isEmpty();
+    }
+
+    @Test
+    void keepsOneThatComesBackInTime() {
+        mDirectory.put(upstream(false, 1), 0, 0);
+        mDirectory.listLost(100);
+        mDirectory.listBack(5_000);
+        mDirectory.remove(ID, 1, 5_010);
+        mDirectory.put(upstream(false, 1), 2, 6_000);
+        mDirectory.settle(7_000);
+        assertThat(mDirectory.usable("s")).hasSize(1);
+    }
+
+    @Test
+    void endsWhatAWholeReadingLacks() {
+        mDirectory.put(upstream(false, 1), 0, 0);
+        assertThat(mDirectory.keepOnly(Set.of(), 9, 10)).isTrue();
+        assertThat(mDirectory.usable()).isEmpty();
+    }
+}
--- /dev/null
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/relay/RelayAttemptsTest.java
@@ -0,0 +1,80 @@
+package org.magnoliapick.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.magnoliapick.errors.ErrorKind;
+import org.magnoliapick.errors.Outcome;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.request.AttemptEnd;
+import org.magnoliapick.route.RouteKind;
+
+final class RelayAttemptsTest {
+    private static final UpstreamId UPSTREAM = new UpstreamId("u");
+
+    private final FleetRetryBudget mBudget = new FleetRetryBudget(0.2, 100, 10_000, 1);
+    private final FleetRetryBudget mNoBudget = new FleetRetryBudget(0, 0, 10_000, 1);
+
+    private static RelayAttempts attempts(RouteKind kind, boolean resumable) {
+        RelayAttempts attempts = new RelayAttempts(Requests.request(kind, resumable));
+        attempts.sent(UPSTREAM);
+        return attempts;
+    }
+
+    @ParameterizedTest
+    @EnumSource(AttemptEnd.class)
+    void neverRunsAnUnsafeRequestTwice(AttemptEnd end) {
+        RelayStep step = attempts(RouteKind.UNSAFE, false).after(end, mBudget, 10);
+        assertThat(step instanceof RelayStep.Again).isEqualTo(end.provesNotRun());
+    }
+
+    @ParameterizedTest
+    @EnumSource(AttemptEnd.class)
+    void saysNotRunOnlyWithProof(AttemptEnd end) {
+        RelayStep step = attempts(RouteKind.UNSAFE, false).after(end, mNoBudget, 3_999);
+        if (step instanceof RelayStep.Fail fail) {
+            assertThat(fail.kind().outcome() == Outcome.NOT_RUN).isEqualTo(end.provesNotRun());
+        } else {
+            assertThat(step).isInstanceOf(RelayStep.RelayFailure.class);
+        }
+    }
+
+    @Test
+    void aRefusalAfterARunDoesNotSayNotRun() {
+        RelayAttempts attempts = attempts(RouteKind.SAFE, false);
+        attempts.after(AttemptEnd.FAILED, mBudget, 10);
+        RelayStep step = attempts.after(AttemptEnd.REFUSED, mNoBudget, 20);
+        assertThat(step).isEqualTo(new RelayStep.Fail(ErrorKind.UPSTREAM_LOST));
+    }
+
+    @Test
+    void repeatsASafeRequestUpToItsAttempts() {
+        RelayAttempts attempts = attempts(RouteKind.SAFE, false);
+        assertThat(attempts.after(AttemptEnd.FAILED, mBudget, 10)).isEqualTo(new RelayStep.Again());
+        assertThat(attempts.after(AttemptEnd.FAILED, mBudget, 20))
+                .isEqualTo(new RelayStep.RelayFailure());
+    }
+
+    @Test
+    void resumesAStreamAfterTheLastEventThatWasRelayed() {
+        RelayAttempts attempts = attempts(RouteKind.STREAM, true);
+        attempts.headRelayed();
+        attempts.eventRelayed(12);
+        assertThat(attempts.after(AttemptEnd.CUT, mBudget, 10)).isEqualTo(new RelayStep.Resume(12));
+    }
+
+    @Test
+    void breaksAStreamThatMayNotBeResumed() {
+        RelayAttempts attempts = attempts(RouteKind.STREAM, false);
+        attempts.headRelayed();
+        assertThat(attempts.after(AttemptEnd.CUT, mBudget, 10)).isInstanceOf(RelayStep.Break.class);
+    }
+
+    @Test
+    void keepsToTheBudget() {
+        assertThat(attempts(RouteKind.SAFE, false).after(AttemptEnd.CUT, mNoBudget, 10))
+                .isInstanceOf(RelayStep.Fail.class);
+    }
+}
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/GatewayProcess.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/GatewayProcess.java
@@ -33,7 +33,8 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
     }
 
-    private void stop() {
+    /** Stops gracefully; returns once all is answered or the time for it is over. */
+    public void stop() {
         try {
             mGateway.stop();
             mLines.stop(LOG_STOP_MILLIS);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/log/JsonLines.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/log/JsonLines.java
@@ -56,11 +56,11 @@
             try {
                 Thread.sleep(PERIOD_MILLIS);
             } catch (InterruptedException e) {
-                // Stopping: write the rest below.
                 mRunning.set(false);
             }
             writePending();
         }
+        writePending();
     }
 
     private void writePending() {
--- /dev/null
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
@@ -0,0 +1,128 @@
+package org.magnoliapick.gateway;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.pool.ListedUpstream;
+import org.magnoliapick.relay.Prompt;
+import org.magnoliapick.route.CallerLimits;
+import org.magnoliapick.route.Route;
+import org.magnoliapick.route.RouteKind;
+import org.magnoliapick.route.ServiceSpec;
+import org.magnoliapick.route.TrafficConfig;
+import org.magnoliapick.route.WeightedService;
+
+/** A dialect of the tests' own: plain header names, a fixed configuration, one upstream. */
+public final class FakeDialect implements Dialect {
+    private final int mUpstreamPort;
+
+    /** Creates a dialect whose list names one upstream on loopback. */
+    public FakeDialect(int upstreamPort) {
+        mUpstreamPort = upstreamPort;
+    }
+
+    @Override
+    public Optional<CallHead> readCall(HttpRequest head) {
+        return Optional.ofNullable(head.headers().get("Id"))
+                .map(
+                        id ->
+                                new CallHead(
+                                        id,
+                                        OptionalLong.empty(),
+                                        Optional.empty(),
+                                        Prompt.UNKNOWN,
+                                        OptionalLong.empty()));
+    }
+
+    @Override
+    public void forward(HttpHeaders headers, ForwardHead forward) {
+        headers.set("Left", forward.leftMillis());
+        if (forward.resumeAfter().isPresent()) {
+            headers.set("After", forward.resumeAfter().getAsLong());
+        }
+    }
+
+    @Override
+    public AnswerHead readAnswer(HttpResponse head) {
+        return new AnswerHead(
+                Optional.ofNullable(head.headers().get("Id")),
+                head.headers().contains("Not-Run"),
+                head.headers().contains("Signed"));
+    }
+
+    @Override
+    public Optional<TrafficConfig> readConfig(String key, byte[] value) {
+        return Optional.of(
+                new TrafficConfig(
+                        1,
+                        List.of(
+                                route("safe", RouteKind.SAFE, false),
+                                route("unsafe", RouteKind.UNSAFE, false),
+                                route("stream", RouteKind.STREAM, true)),
+                        List.of(new ServiceSpec("s", 10, Optional.empty())),
+                        List.of(),
+                        new CallerLimits(16_384, 4_096, 1_000, 10_000),
+                        OptionalLong.empty()));
+    }
+
+    private static Route route(String name, RouteKind kind, boolean resumable) {
+        return new Route(
+                name,
+                "127.0.0.1",
+                "/" + name + "/",
+                kind,
+                5_000,
+                1_000,
+                200,
+                1,
+                List.of(new WeightedService("s", 1)),
+                2,
+                true,
+                resumable);
+    }
+
+    @Override
+    public Optional<ListedUpstream> readUpstream(UpstreamId id, byte[] value) {
+        return Optional.of(
+                new ListedUpstream(
+                        id,
+                        "s",
+                        "127.0.0.1:" + mUpstreamPort,
+                        new FailureDomain("a"),
+                        4,
+                        false,
+                        1));
+    }
+
+    @Override
+    public StoreCall newest(StoreTopic topic, Optional<String> afterKey) {
+        return call(List.of(new StoreRecord("one", new byte[] {1}, 0)));
+    }
+
+    @Override
+    public StoreCall read(StoreTopic topic, long fromOffset, long waitMillis) {
+        return call(List.of());
+    }
+
+    private static StoreCall call(List<StoreRecord> records) {
+        return new StoreCall() {
+            @Override
+            public HttpRequest request() {
+                return new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/store");
+            }
+
+            @Override
+            public StoreAnswer read(int status, byte[] body) {
+                return new StoreAnswer.Page(records, 1, Optional.empty());
+            }
+        };
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakePeer.java
@@ -0,0 +1,124 @@
+package org.magnoliapick.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** A server on loopback whose every answer is written byte by byte by the test. */
+public final class FakePeer implements AutoCloseable {
+    private final ServerSocket mServer;
+    private final Script mScript;
+    private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
+    private final BlockingQueue<String> mRequests = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> mEnds = new LinkedBlockingQueue<>();
+
+    /** What a connection does with the request that it read. */
+    public interface Script {
+        /** Answers a request; returns whether the connection reads another one. */
+        boolean answer(String request, Socket socket) throws IOException;
+    }
+
+    /** Starts a server. */
+    public FakePeer(Script script) throws IOException {
+        mServer = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        mScript = script;
+        Thread accepting = new Thread(this::accept, "fake-peer");
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    /** Returns where it listens. */
+    public int port() {
+        return mServer.getLocalPort();
+    }
+
+    /** Returns the requests in the order in which they came. */
+    public BlockingQueue<String> requests() {
+        return mRequests;
+    }
+
+    /** Returns an entry for each connection that the other side closed. */
+    public BlockingQueue<String> ends() {
+        return mEnds;
+    }
+
+    private void accept() {
+        while (!mServer.isClosed()) {
+            try {
+                Socket socket = mServer.accept();
+                mSockets.add(socket);
+                Thread serving = new Thread(() -> serve(socket), "fake-peer-connection");
+                serving.setDaemon(true);
+                serving.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            boolean more = true;
+            while (more) {
+                String request = readRequest(socket.getInputStream());
+                if (request.isEmpty()) {
+                    mEnds.add("end");
+                    return;
+                }
+                mRequests.add(request);
+                more = mScript.answer(request, socket);
+            }
+        } catch (IOException e) {
+            mEnds.add("reset");
+        }
+    }
+
+    /** Reads one request with its body; empty at the end of the stream. */
+    static String readRequest(InputStream in) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        String text = "";
+        while (!text.contains("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                return "";
+            }
+            bytes.write(next);
+            text = bytes.toString(StandardCharsets.ISO_8859_1);
+        }
+        int length = 0;
+        for (String line : text.split("\r\n")) {
+            if (line.regionMatches(true, 0, "content-length:", 0, 15)) {
+                length = Integer.parseInt(line.substring(15).trim());
+            }
+        }
+        return text + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+    }
+
+    /** Writes a text as it is. */
+    public static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** Closes a connection with a reset. */
+    public static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    @Override
+    public void close() throws IOException {
+        mServer.close();
+        for (Socket socket : mSockets) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
@@ -0,0 +1,56 @@
+package org.magnoliapick.gateway.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.magnoliapick.gateway.GatewaySettings;
+import org.magnoliapick.gateway.SettingsException;
+
+final class SettingsReaderTest {
+    private static final String GOOD =
+            """
+            instance: "i-1"
+            domain: "a"
+            callers: {address: "10.0.0.1:80"}
+            readiness: {address: "10.0.0.1:81", path: /ready}
+            control: {address: "10.0.0.1:82"}
+            peers: {address: "10.0.0.1:83", seeds: ["10.0.0.2:82"]}
+            store: {address: "10.9.0.1:90"}
+            retries: {ratio: 0.2, slack: 54, windowSeconds: 10}
+            sharing: {windowSeconds: 4}
+            stop: {graceSeconds: 8}
+            """;
+
+    @TempDir private Path mFolder;
+
+    private GatewaySettings read(String text) throws IOException, SettingsException {
+        Path file = mFolder.resolve("s.yaml");
+        Files.writeString(file, text);
+        return SettingsReader.read(file);
+    }
+
+    @Test
+    void readsAllKeys() throws Exception {
+        GatewaySettings settings = read(GOOD);
+        assertThat(settings.callers().port()).isEqualTo(80);
+        assertThat(settings.stopMillis()).isEqualTo(8_000);
+        assertThat(settings.seeds()).hasSize(1);
+    }
+
+    @Test
+    void namesWhatIsWrong() {
+        assertThatThrownBy(() -> read(GOOD.replace("domain: \"a\"\n", "")))
+                .hasMessageContaining("domain is missing");
+        assertThatThrownBy(() -> read(GOOD + "more: 1\n")).hasMessageContaining("unknown key more");
+        assertThatThrownBy(() -> read(GOOD.replace("10.0.0.1:80", "10.0.0.1")))
+                .hasMessageContaining("callers.address: expected IP:PORT");
+        assertThatThrownBy(() -> read(GOOD.replace("0.2", "-1")))
+                .hasMessageContaining("retries.ratio: expected a number");
+        assertThatThrownBy(() -> read("{[")).hasMessageContaining("is not YAML");
+    }
+}
--- /dev/null
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/EventSplitterTest.java
@@ -0,0 +1,44 @@
+package org.magnoliapick.gateway.internal.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+final class EventSplitterTest {
+    private static final String STREAM =
+            "id: 1\ndata: a\n\nversion: 3\nid: 2\ndata: b\n\ndata:c\n\n";
+
+    private static List<String> feed(EventSplitter splitter, String text) {
+        List<String> events = new ArrayList<>();
+        for (EventSplitter.Event event :
+                splitter.feed(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8))) {
+            events.add(event.id() + event.bytes().toString(StandardCharsets.UTF_8));
+        }
+        return events;
+    }
+
+    @Property(tries = 100, seed = "1")
+    void cutsTheSameHoweverTheBytesCome(@ForAll @IntRange(min = 1, max = 40) int size) {
+        EventSplitter splitter = new EventSplitter();
+        List<String> events = new ArrayList<>();
+        for (int i = 0; i < STREAM.length(); i += size) {
+            events.addAll(feed(splitter, STREAM.substring(i, Math.min(STREAM.length(), i + size))));
+        }
+        assertThat(events).isEqualTo(feed(new EventSplitter(), STREAM)).hasSize(3);
+        assertThat(splitter.inEvent()).isFalse();
+    }
+
+    @Test
+    void tellsAnEventThatIsNotWhole() {
+        EventSplitter splitter = new EventSplitter();
+        assertThat(feed(splitter, "id: 1\ndata")).isEmpty();
+        assertThat(splitter.inEvent()).isTrue();
+    }
+}
--- /dev/null
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -0,0 +1,104 @@
+package org.magnoliapick.rpc;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.pool.InstancePacket;
+import org.magnoliapick.pool.InstanceReport;
+import org.magnoliapick.pool.PoolCause;
+import org.magnoliapick.pool.PoolDecision;
+import org.magnoliapick.pool.PoolJob;
+import org.magnoliapick.pool.PoolMessage;
+import org.magnoliapick.pool.PoolUse;
+import org.magnoliapick.pool.UpstreamUse;
+import org.magnoliapick.relay.Prompt;
+import org.magnoliapick.relay.PromptPart;
+
+final class UsePacketCodecTest {
+    private static final InstanceId FROM = new InstanceId("from");
+    private static final InstanceId TO = new InstanceId("to");
+
+    private static PoolJob job() {
+        return new PoolJob(
+                "id",
+                "s",
+                new WorkspaceId("w"),
+                new FailureDomain("a"),
+                new Prompt(100, 20, List.of(new PromptPart("p", 50))),
+                300,
+                1_300,
+                true,
+                Set.of(new UpstreamId("x")),
+                Set.of(new UpstreamId("y")),
+                true,
+                2,
+                1_000,
+                Optional.of(FROM),
+                77);
+    }
+
+    private static InstancePacket packet() {
+        PoolUse use =
+                new PoolUse(
+                        "s",
+                        List.of(new UpstreamUse(new UpstreamId("u"), 3, 400, 5_000, 70)),
+                        Map.of(new WorkspaceId("w"), 9L),
+                        11,
+                        OptionalLong.of(4));
+        return new InstancePacket(
+                FROM,
+                "1:1",
+                Optional.of(
+                        new InstanceReport(
+                                FROM,
+                                new FailureDomain("a"),
+                                "1:1",
+                                5,
+                                6,
+                                List.of(use),
+                                List.of("2:1"))),
+                Map.of("s", 8L),
+                List.of(
+                        new PoolMessage.Ask(TO, job()),
+                        new PoolMessage.Decide(TO, "s", new PoolDecision.Queued(1)),
+                        new PoolMessage.Decide(
+                                TO,
+                                "s",
+                                new PoolDecision.Start(
+                                        2, 3, new UpstreamId("u"), 4, 5, PoolCause.ROOM)),
+                        new PoolMessage.Decide(
+                                TO, "s", new PoolDecision.Refuse(6, PoolCause.TOO_LATE, 700)),
+                        new PoolMessage.Withdraw(TO, "s", 8)));
+    }
+
+    @Test
+    void readsWhatItWrote() {
+        byte[] bytes = UsePacketCodec.encode(packet(), 1_000);
+        assertThat(UsePacketCodec.decode(bytes, TO, 1_000)).contains(packet());
+    }
+
+    @Property(tries = 300, seed = "3")
+    void survivesAnyBytes(@ForAll byte[] bytes) {
+        assertThat(UsePacketCodec.decode(bytes, TO, 0)).isNotNull();
+    }
+
+    @Test
+    void survivesACutAnywhere() {
+        byte[] bytes = UsePacketCodec.encode(packet(), 1_000);
+        for (int length = 0; length < bytes.length; length++) {
+            byte[] cut = java.util.Arrays.copyOf(bytes, length);
+            assertThat(UsePacketCodec.decode(cut, TO, 1_000)).isNotNull();
+        }
+    }
+}
