Take a hang-up for a look at the settings file, not for the end

Cause: the virtual machine ends on SIGHUP; the platform sends it when the settings file changed. Change: the signal, or a change of the file without one, reads it again; budget and stop time are taken over, the rest is named in the log; settings that make no sense change nothing.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewayMain.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewayMain.java
@@ -73,7 +73,9 @@
         if (dialect.isEmpty()) {
             return usage(err, "no dialect on the class path");
         }
-        new GatewayProcess(settings, dialect.get(), out).start();
+        GatewayProcess process = new GatewayProcess(settings, dialect.get(), out);
+        process.start();
+        process.watch(file);
         return Optional.empty();
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -45,6 +45,9 @@
     /** How often a dispatcher logs what it believes of the load, in milliseconds. */
     private static final long LOAD_LOG_MILLIS = 1_000;
 
+    /** How often the settings file is looked at, in milliseconds. */
+    private static final long SETTINGS_MILLIS = 2_000;
+
     /** How long a stopping instance still takes callers: the balancer asks twice. */
     private static final long LEAVE_MILLIS = 3_000;
 
@@ -66,6 +69,7 @@
     private final Dialect mDialect;
     private final CountDownLatch mStopped = new CountDownLatch(1);
     private long mLoadLoggedMillis;
+    private volatile long mStopMillis;
     private boolean mStopping;
     private long mStopDeadlineMillis;
 
@@ -76,19 +80,10 @@
         mDialect = dialect;
         mLog = log;
         mClockMillis = clockMillis;
-        GatewaySettings.Budget budget = settings.budget();
+        mStopMillis = settings.stopMillis();
         mContext =
                 new RelayContext(
-                        mLoop,
-                        settings.domain(),
-                        clockMillis,
-                        dialect,
-                        new FleetRetryBudget(
-                                budget.ratio(),
-                                budget.slack(),
-                                budget.windowMillis(),
-                                BUDGET_INSTANCES),
-                        log);
+                        mLoop, settings.domain(), clockMillis, dialect, budget(settings), log);
         mRelays = new Relays(mContext);
         mPools =
                 new Pools(
@@ -203,15 +198,41 @@
         }
     }
 
+    /** Runs a step on the event loop. */
+    void run(Runnable step) {
+        mLoop.execute(() -> guarded("signal", step));
+    }
+
+    /** Runs a step on the event loop now and then, for as long as the process lives. */
+    void repeat(Runnable step) {
+        mLoop.scheduleWithFixedDelay(
+                () -> guarded("settings", step),
+                SETTINGS_MILLIS,
+                SETTINGS_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes over settings that can change while the process runs. */
+    void settingsChanged(GatewaySettings settings) {
+        mContext.budget(budget(settings));
+        mStopMillis = settings.stopMillis();
+    }
+
+    private static FleetRetryBudget budget(GatewaySettings settings) {
+        GatewaySettings.Budget budget = settings.budget();
+        return new FleetRetryBudget(
+                budget.ratio(), budget.slack(), budget.windowMillis(), BUDGET_INSTANCES);
+    }
+
     /** Stops gracefully; returns once nothing is under way or the time for it is over. */
     public void stop() throws InterruptedException {
         mLoop.execute(
                 () -> {
                     mStopping = true;
-                    mStopDeadlineMillis = mClockMillis.getAsLong() + mSettings.stopMillis();
+                    mStopDeadlineMillis = mClockMillis.getAsLong() + mStopMillis;
                     mLog.line("instance.stopping").with("underWay", mRelays.underWay()).log();
                 });
-        mStopped.await(mSettings.stopMillis(), TimeUnit.MILLISECONDS);
+        mStopped.await(mStopMillis, TimeUnit.MILLISECONDS);
         mLog.line("instance.stopped").with("underWay", mRelays.underWay()).log();
     }
 
@@ -220,7 +241,7 @@
             return;
         }
         long leftMillis = mStopDeadlineMillis - nowMillis;
-        if (mSettings.stopMillis() - leftMillis > LEAVE_MILLIS) {
+        if (mStopMillis - leftMillis > LEAVE_MILLIS) {
             mCallers.closeGradually();
             mRelays.stopping();
         }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/GatewayProcess.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/GatewayProcess.java
@@ -1,11 +1,13 @@
 package org.magnoliapick.gateway.internal;
 
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.util.function.LongSupplier;
 import org.magnoliapick.gateway.Dialect;
 import org.magnoliapick.gateway.GatewaySettings;
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.gateway.internal.log.JsonLines;
+import sun.misc.Signal;
 
 /** The life of a gateway process: start, and a planned stop when it is told to end. */
 public final class GatewayProcess {
@@ -13,13 +15,24 @@
     private static final long LOG_STOP_MILLIS = 200;
 
     private final JsonLines mLines;
+    private final EventLog mLog;
     private final Gateway mGateway;
+    private final GatewaySettings mSettings;
 
     /** Creates a process that is not started. */
     public GatewayProcess(GatewaySettings settings, Dialect dialect, PrintStream out) {
         LongSupplier clockMillis = new MonotonicClock();
+        mSettings = settings;
         mLines = new JsonLines(out);
-        mGateway = new Gateway(settings, dialect, new EventLog(mLines, clockMillis), clockMillis);
+        mLog = new EventLog(mLines, clockMillis);
+        mGateway = new Gateway(settings, dialect, mLog, clockMillis);
+    }
+
+    /** Follows changes of the settings file; a hang-up signal only asks for another look. */
+    public void watch(Path file) {
+        SettingsWatch watch = new SettingsWatch(file, mSettings, mLog, mGateway::settingsChanged);
+        mGateway.repeat(watch::look);
+        Signal.handle(new Signal("HUP"), signal -> mGateway.run(() -> watch.reload("signal")));
     }
 
     /**
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
@@ -15,7 +15,7 @@
     private final FailureDomain mDomain;
     private final LongSupplier mClockMillis;
     private final Dialect mDialect;
-    private final FleetRetryBudget mBudget;
+    private FleetRetryBudget mBudget;
     private final EventLog mLog;
     private final RelayCounters mCounters = new RelayCounters();
     private Optional<TrafficConfig> mConfig = Optional.empty();
@@ -68,6 +68,11 @@
         return mDialect;
     }
 
+    /** Puts another budget for repeats in force. */
+    public void budget(FleetRetryBudget budget) {
+        mBudget = budget;
+    }
+
     FleetRetryBudget budget() {
         return mBudget;
     }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
@@ -12,7 +12,7 @@
 import org.magnoliapick.gateway.SettingsException;
 
 final class SettingsReaderTest {
-    private static final String GOOD =
+    static final String GOOD =
             """
             instance: "i-1"
             domain: "a"
