--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
@@ -26,6 +26,9 @@
     /** Milliseconds that each known instance adds to the periods, so that the cost is bounded. */
     private static final long PER_PEER_MILLIS = 5;
 
+    /** How many instances may be known before the periods grow. */
+    private static final int FREE_PEERS = 8;
+
     /** How often silent instances are told, in milliseconds. */
     private static final long SILENT_MILLIS = 1_000;
 
@@ -38,9 +41,12 @@
     /** How often the list of known addresses is told to one instance, in milliseconds. */
     private static final long KNOWN_MILLIS = 1_000;
 
-    /** After how long without a word an instance is not taken for a dispatcher. */
+    /** After how long without a word an instance is not taken for a dispatcher, at least. */
     private static final long DISPATCHER_MILLIS = 700;
 
+    /** After how many periods without a word an instance is not taken for a dispatcher. */
+    private static final int DISPATCHER_PERIODS = 4;
+
     /** The largest fleet that has one dispatcher a service. */
     private static final int ONE_DISPATCHER_INSTANCES = 16;
 
@@ -107,7 +113,11 @@
             return SILENT_MILLIS;
         }
         boolean near = peer.mReport.get().domain().equals(mDomain);
-        return (near ? NEAR_MILLIS : FAR_MILLIS) + PER_PEER_MILLIS * Math.max(0, mPeers.size() - 8);
+        return near ? nearPeriod() : nearPeriod() + FAR_MILLIS - NEAR_MILLIS;
+    }
+
+    private long nearPeriod() {
+        return NEAR_MILLIS + PER_PEER_MILLIS * Math.max(0, mPeers.size() - FREE_PEERS);
     }
 
     private static long silentMillis(Peer peer, long nowMillis) {
@@ -134,7 +144,8 @@
         List<InstanceId> all = new ArrayList<>(List.of(self));
         List<InstanceId> near = new ArrayList<>(List.of(self));
         for (Peer peer : mPeers.values()) {
-            if (peer.mReport.isPresent() && silentMillis(peer, nowMillis) <= DISPATCHER_MILLIS) {
+            long limitMillis = Math.max(DISPATCHER_MILLIS, DISPATCHER_PERIODS * nearPeriod());
+            if (peer.mReport.isPresent() && silentMillis(peer, nowMillis) <= limitMillis) {
                 all.add(peer.mReport.get().instance());
                 if (peer.mReport.get().domain().equals(mDomain)) {
                     near.add(peer.mReport.get().instance());
--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/FleetRetryBudget.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/FleetRetryBudget.java
@@ -16,9 +16,10 @@
     private static final double SAFETY = 0.6;
 
     private final double mRatio;
-    private final double mSlack;
+    private final double mFleetSlack;
     private final long mPartMillis;
     private final Map<String, Window> mWindows = new HashMap<>();
+    private int mInstances;
 
     /**
      * Creates a budget.
@@ -26,14 +27,23 @@
      * @param ratio repeats allowed for each request
      * @param slack repeats allowed without any request, over the whole fleet
      * @param windowMillis the span in which they count
-     * @param instances among how many instances the slack is divided
+     * @param leastInstances among how many instances the slack is divided at least
      */
-    public FleetRetryBudget(double ratio, double slack, long windowMillis, int instances) {
+    public FleetRetryBudget(double ratio, double slack, long windowMillis, int leastInstances) {
         mRatio = ratio;
-        mSlack = slack / Math.max(1, instances);
+        mFleetSlack = slack;
+        mInstances = Math.max(1, leastInstances);
         mPartMillis = Math.max(1, windowMillis / PARTS);
     }
 
+    /**
+     * Notes how large the fleet is. It is never taken for smaller than it was, since instances that
+     * are cut off go on with their shares.
+     */
+    public void instances(int instances) {
+        mInstances = Math.max(mInstances, instances);
+    }
+
     /** Counts a request that a caller sent for a service. */
     public void counted(String service, long nowMillis) {
         window(service, nowMillis).mRequests[part(nowMillis)]++;
@@ -42,7 +52,7 @@
     /** Takes one repeat out of the budget; returns whether it is allowed. */
     public boolean tryRepeat(String service, long nowMillis) {
         Window window = window(service, nowMillis);
-        double allowed = SAFETY * (mSlack + mRatio * sum(window.mRequests));
+        double allowed = SAFETY * (mFleetSlack / mInstances + mRatio * sum(window.mRequests));
         if (sum(window.mRepeats) + 1 > allowed) {
             return false;
         }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/relay/FleetRetryBudgetTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/relay/FleetRetryBudgetTest.java
@@ -25,6 +25,18 @@
         assertThat(sum).isLessThanOrEqualTo(54);
     }
 
+    @Test
+    void sharesAddUpInALargeFleetAndStaySmallWhenPartOfItIsCutOff() {
+        int sum = 0;
+        for (int i = 0; i < 87; i++) {
+            FleetRetryBudget budget = new FleetRetryBudget(0.2, 214, 10_000, 12);
+            budget.instances(87);
+            budget.instances(3);
+            sum += allowed(budget, 5_000);
+        }
+        assertThat(sum).isLessThanOrEqualTo(214);
+    }
+
     @Test
     void growsWithRequestsAndSlides() {
         FleetRetryBudget budget = new FleetRetryBudget(0.2, 0, 10_000, 1);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -30,7 +30,7 @@
     /** Requests that may wait for an upstream at one instance. */
     private static final int MAX_WAITING = 512;
 
-    /** Among how many instances the fleet's retry slack is divided. */
+    /** Among how many instances the fleet's retry slack is divided at least. */
     private static final int BUDGET_INSTANCES = 12;
 
     /** How often waiting requests are looked at, in milliseconds. */
@@ -167,7 +167,12 @@
     }
 
     private void peerTick() {
-        guarded("peers", () -> mPeers.tick(mClockMillis.getAsLong()));
+        guarded(
+                "peers",
+                () -> {
+                    mPeers.tick(mClockMillis.getAsLong());
+                    mContext.instances(mPeers.live() + 1);
+                });
     }
 
     private void sweep() {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -138,6 +138,11 @@
         }
     }
 
+    /** Returns how many other instances were heard of late. */
+    public int live() {
+        return mLive;
+    }
+
     /** Returns which other instance decides for a service; absent if this one does. */
     public Optional<InstanceId> dispatcher(String service) {
         InstanceId dispatcher =
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
@@ -18,6 +18,7 @@
     private FleetRetryBudget mBudget;
     private final EventLog mLog;
     private final RelayCounters mCounters = new RelayCounters();
+    private int mInstances = 1;
     private Optional<TrafficConfig> mConfig = Optional.empty();
 
     /** Creates a context without a configuration. */
@@ -68,9 +69,16 @@
         return mDialect;
     }
 
+    /** Notes how many instances share the budget for repeats. */
+    public void instances(int instances) {
+        mInstances = Math.max(mInstances, instances);
+        mBudget.instances(mInstances);
+    }
+
     /** Puts another budget for repeats in force. */
     public void budget(FleetRetryBudget budget) {
         mBudget = budget;
+        mBudget.instances(mInstances);
     }
 
     FleetRetryBudget budget() {
