Go on after a record that cannot be read; drop what nothing uses

Cause: an exception while a record was read would have ended the following of its topic for good (found by reading the diff). Change: such a record is logged and passed over; unused parts of the directory, the tickets and the attempts are gone.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/HomeUpstreams.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/HomeUpstreams.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.member.Rendezvous;
 import org.magnoliapick.relay.PromptPart;
@@ -31,7 +32,7 @@
     /** Takes over the upstreams that may get new work. */
     void listed(Collection<UpstreamId> upstreams) {
         if (!mUpstreams.equals(upstreams)) {
-            mUpstreams = java.util.Set.copyOf(upstreams);
+            mUpstreams = Set.copyOf(upstreams);
             mHomes.clear();
         }
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -124,7 +124,6 @@
         Ticket ticket =
                 new Ticket(
                         load.upstream(),
-                        job.account(),
                         start.newTokens(),
                         Placing.memoryTokens(job),
                         start.aheadTokens(),
@@ -332,7 +331,6 @@
         Ticket ticket =
                 new Ticket(
                         load.upstream(),
-                        job.account(),
                         choice.newTokens(),
                         memoryTokens,
                         load.readingTokens(nowMillis),
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Ticket.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Ticket.java
@@ -1,11 +1,8 @@
 package org.magnoliapick.pool;
 
-import org.magnoliapick.lib.WorkspaceId;
-
 /** A request's place at an upstream, from the decision to the end of the attempt. */
 public final class Ticket {
     private final ListedUpstream mUpstream;
-    private final WorkspaceId mAccount;
     private final long mNewTokens;
     private final long mMemoryTokens;
     private final long mAheadTokens;
@@ -15,13 +12,11 @@
 
     Ticket(
             ListedUpstream upstream,
-            WorkspaceId account,
             long newTokens,
             long memoryTokens,
             long aheadTokens,
             long startedMillis) {
         mUpstream = upstream;
-        mAccount = account;
         mNewTokens = newTokens;
         mMemoryTokens = memoryTokens;
         mAheadTokens = aheadTokens;
@@ -38,15 +33,11 @@
         return mNewTokens;
     }
 
-    /** Returns how many tokens it was expected to read before, in milliseconds' worth of order. */
+    /** Returns how many tokens it was expected to read before. */
     public long aheadTokens() {
         return mAheadTokens;
     }
 
-    WorkspaceId account() {
-        return mAccount;
-    }
-
     /** Returns how much memory the request may come to fill, in tokens. */
     public long memoryTokens() {
         return mMemoryTokens;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamDirectory.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamDirectory.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.magnoliapick.lib.UpstreamId;
 
 /**
@@ -48,7 +48,7 @@
                                 && entry.mUpstream.sameLife(upstream));
         entry.mOffset = offset;
         entry.mUpstream = leaving ? upstream.left() : upstream;
-        entry.mGoneAtMillis = Long.MAX_VALUE;
+        entry.mLapsed = false;
         entry.mGone = false;
         return !before.equals(entry.usable());
     }
@@ -61,7 +61,7 @@
         }
         entry.mOffset = offset;
         if (mListLost || nowMillis < mSettledMillis) {
-            entry.mGoneAtMillis = mListLost ? Long.MAX_VALUE - 1 : mSettledMillis;
+            entry.mLapsed = true;
             return false;
         }
         return entry.end();
@@ -71,8 +71,7 @@
     public boolean settle(long nowMillis) {
         boolean changed = false;
         for (Entry entry : mEntries.values()) {
-            boolean lapsed = entry.mGoneAtMillis != Long.MAX_VALUE && !entry.mGone;
-            if (lapsed && !mListLost && nowMillis >= mSettledMillis) {
+            if (entry.mLapsed && !mListLost && nowMillis >= mSettledMillis) {
                 changed |= entry.end();
             }
         }
@@ -80,7 +79,7 @@
     }
 
     /** Ends what a whole reading of the list did not hold; returns whether anything changed. */
-    public boolean keepOnly(java.util.Set<UpstreamId> listed, long endOffset, long nowMillis) {
+    public boolean keepOnly(Set<UpstreamId> listed, long endOffset, long nowMillis) {
         boolean changed = false;
         for (UpstreamId id : List.copyOf(mEntries.keySet())) {
             if (!listed.contains(id)) {
@@ -106,21 +105,10 @@
         return usable;
     }
 
-    /** Forgets entries that ended; their identifiers do not come back. */
-    public void forgetEnded(long beforeOffset) {
-        Iterator<Entry> entries = mEntries.values().iterator();
-        while (entries.hasNext()) {
-            Entry entry = entries.next();
-            if (entry.mGone && entry.mOffset < beforeOffset) {
-                entries.remove();
-            }
-        }
-    }
-
     private static final class Entry {
         private ListedUpstream mUpstream;
         private long mOffset = -1;
-        private long mGoneAtMillis = Long.MAX_VALUE;
+        private boolean mLapsed;
         private boolean mGone;
 
         private Optional<ListedUpstream> usable() {
@@ -132,6 +120,7 @@
         private boolean end() {
             boolean usable = usable().isPresent();
             mGone = true;
+            mLapsed = false;
             return usable;
         }
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayAttempts.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayAttempts.java
@@ -26,7 +26,6 @@
     private boolean mMayHaveRun;
     private boolean mHeadRelayed;
     private long mLastEvent;
-    private boolean mCompleteEvent = true;
 
     /** Creates the record of a request that has not been sent anywhere. */
     public RelayAttempts(RelayRequest request) {
@@ -50,11 +49,6 @@
         mLastEvent = eventId;
     }
 
-    /** Notes that bytes were relayed after which the answer cannot be continued elsewhere. */
-    public void openEndRelayed() {
-        mCompleteEvent = false;
-    }
-
     /** Returns the last event that the caller has. */
     public long lastEvent() {
         return mLastEvent;
@@ -110,7 +104,7 @@
                         && timeLeft(nowMillis)
                         && (!arrived || budget.tryRepeat(mRequest.service(), nowMillis));
         if (mHeadRelayed) {
-            return offer && mCompleteEvent
+            return offer
                     ? new RelayStep.Resume(mLastEvent)
                     : new RelayStep.Break(ErrorKind.UPSTREAM_LOST);
         }
@@ -125,7 +119,7 @@
     }
 
     private boolean mayResume(FleetRetryBudget budget, long nowMillis) {
-        return mRequest.route().resumable() && mCompleteEvent && mayRunAgain(budget, nowMillis);
+        return mRequest.route().resumable() && mayRunAgain(budget, nowMillis);
     }
 
     private boolean timeLeft(long nowMillis) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
@@ -1,7 +1,6 @@
 package org.magnoliapick.gateway.internal.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -32,7 +31,6 @@
     private final LongSupplier mClockMillis;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private CallerLimits mLimits = CallerLimits.INITIAL;
-    private Channel mChannel;
     private boolean mLeaving;
     private boolean mClosing;
 
@@ -51,30 +49,28 @@
      * @throws InterruptedException if interrupted before the address was bound
      */
     public void listen(AddressPort address) throws InterruptedException {
-        mChannel =
-                new ServerBootstrap()
-                        .group(mLoop)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        channel.pipeline()
-                                                .addLast(
-                                                        new HttpRequestDecoder(
-                                                                MAX_LINE_BYTES,
-                                                                mLimits.maxHeaderBytes(),
-                                                                MAX_PIECE_BYTES),
-                                                        new HttpResponseEncoder(),
-                                                        new CallerConnection(CallerServer.this));
-                                    }
-                                })
-                        .bind(address.socketAddress())
-                        .sync()
-                        .channel();
+        new ServerBootstrap()
+                .group(mLoop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline()
+                                        .addLast(
+                                                new HttpRequestDecoder(
+                                                        MAX_LINE_BYTES,
+                                                        mLimits.maxHeaderBytes(),
+                                                        MAX_PIECE_BYTES),
+                                                new HttpResponseEncoder(),
+                                                new CallerConnection(CallerServer.this));
+                            }
+                        })
+                .bind(address.socketAddress())
+                .sync();
     }
 
     /** Sets what callers may send from now on. */
@@ -92,13 +88,6 @@
         mClosing = true;
     }
 
-    /** Stops listening. */
-    public void stopListening() {
-        if (mChannel != null) {
-            mChannel.close();
-        }
-    }
-
     /** Closes connections whose idle time is over. */
     public void sweep(long nowMillis) {
         List.copyOf(mConnections).forEach(each -> each.sweep(nowMillis));
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
@@ -142,8 +142,8 @@
                 try {
                     mIdleLimitMillis = Long.parseLong(item.substring(8).trim()) * 1_000;
                 } catch (NumberFormatException e) {
-                    // Says nothing that can be used: the limit stays as it was.
-                    mIdleLimitMillis = Math.min(mIdleLimitMillis, IDLE_MILLIS);
+                    // The server says nothing that can be used.
+                    mIdleLimitMillis = IDLE_MILLIS;
                 }
             }
         }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigSource.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigSource.java
@@ -61,12 +61,21 @@
     public void added(List<StoreRecord> records) {
         for (StoreRecord record : records) {
             if (!record.dropsKey()) {
-                mDialect.readConfig(record.key(), record.value())
-                        .ifPresent(config -> take(config, record.offset()));
+                read(record).ifPresent(config -> take(config, record.offset()));
             }
         }
     }
 
+    /** Reads a record; one that makes no sense must not keep later ones from being read. */
+    private Optional<TrafficConfig> read(StoreRecord record) {
+        try {
+            return mDialect.readConfig(record.key(), record.value());
+        } catch (RuntimeException e) {
+            mLog.line("config.unreadable").with("offset", record.offset()).with("fault", e).log();
+            return Optional.empty();
+        }
+    }
+
     private void take(TrafficConfig config, long offset) {
         if (config.version() <= mVersion) {
             return;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/StoreFollower.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/StoreFollower.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.magnoliapick.gateway.StoreAnswer;
 import org.magnoliapick.gateway.StoreCall;
 import org.magnoliapick.gateway.StoreRecord;
@@ -105,15 +106,14 @@
         mLoop.schedule(step, RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void call(
-            StoreCall call, long waitMillis, java.util.function.Consumer<StoreAnswer> then) {
+    private void call(StoreCall call, long waitMillis, Consumer<StoreAnswer> then) {
         mCalls.call(
                 call.request(),
                 waitMillis + ANSWER_MILLIS,
                 new HttpCalls.Listener() {
                     @Override
                     public void answered(int status, byte[] body) {
-                        StoreAnswer answer = call.read(status, body);
+                        StoreAnswer answer = decode(call, status, body);
                         if (answer instanceof StoreAnswer.Failed failure) {
                             lost(failure.reason());
                         } else {
@@ -130,6 +130,15 @@
                 });
     }
 
+    /** Reads an answer; one that cannot be read is a failed call like any other. */
+    private static StoreAnswer decode(StoreCall call, int status, byte[] body) {
+        try {
+            return call.read(status, body);
+        } catch (RuntimeException e) {
+            return new StoreAnswer.Failed("unreadable answer: " + e);
+        }
+    }
+
     private void lost(String reason) {
         if (!mLost) {
             mLost = true;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/UpstreamSource.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/UpstreamSource.java
@@ -10,6 +10,7 @@
 import org.magnoliapick.gateway.StoreRecord;
 import org.magnoliapick.gateway.StoreTopic;
 import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.lib.Identifiers;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.pool.UpstreamDirectory;
@@ -75,7 +76,7 @@
     public void whole(List<StoreRecord> records, long endOffset) {
         Set<UpstreamId> listed = new HashSet<>();
         records.stream()
-                .filter(each -> !each.dropsKey() && !each.key().isBlank())
+                .filter(each -> !each.dropsKey() && isId(each.key()))
                 .forEach(each -> listed.add(new UpstreamId(each.key())));
         boolean changed = mDirectory.keepOnly(listed, endOffset, mClockMillis.getAsLong());
         take(records, changed);
@@ -98,7 +99,8 @@
 
     private boolean take(StoreRecord record) {
         long nowMillis = mClockMillis.getAsLong();
-        if (record.key().isBlank() || record.key().length() > 200) {
+        if (!isId(record.key())) {
+            mLog.line("upstream.unreadable").with("offset", record.offset()).log();
             return false;
         }
         UpstreamId id = new UpstreamId(record.key());
@@ -107,7 +109,7 @@
             mLog.line("upstream.ended").with("upstream", id).with("changed", changed).log();
             return changed;
         }
-        Optional<ListedUpstream> upstream = mDialect.readUpstream(id, record.value());
+        Optional<ListedUpstream> upstream = read(id, record);
         if (upstream.isEmpty()) {
             mLog.line("upstream.unreadable").with("upstream", id).log();
             return false;
@@ -123,6 +125,20 @@
         return changed;
     }
 
+    private static boolean isId(String key) {
+        return !key.isBlank() && key.length() <= Identifiers.MAX_LENGTH_CHARS;
+    }
+
+    /** Reads a record; one that makes no sense names no upstream and harms no other. */
+    private Optional<ListedUpstream> read(UpstreamId id, StoreRecord record) {
+        try {
+            return mDialect.readUpstream(id, record.value());
+        } catch (RuntimeException e) {
+            mLog.line("upstream.fault").with("upstream", id).with("fault", e).log();
+            return Optional.empty();
+        }
+    }
+
     @Override
     public void lost() {
         mDirectory.listLost(mClockMillis.getAsLong());
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
@@ -21,7 +21,7 @@
 import org.magnoliapick.route.WeightedService;
 
 /** A dialect of the tests' own: plain header names, a fixed configuration, one upstream. */
-public final class FakeDialect implements Dialect {
+public class FakeDialect implements Dialect {
     private final int mUpstreamPort;
 
     /** Creates a dialect whose list names one upstream on loopback. */
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
@@ -31,10 +31,17 @@
     private final List<AutoCloseable> mOpen = new ArrayList<>();
     private int mCallerPort;
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /** Returns ports that are free and differ from each other. */
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            sockets.add(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
         }
+        List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return ports;
     }
 
     private static AddressPort local(int port) {
@@ -46,8 +53,9 @@
         FakePeer store = new FakePeer(GatewayPathTest::emptyPage);
         mOpen.add(upstream);
         mOpen.add(store);
-        mCallerPort = freePort();
-        int readinessPort = freePort();
+        List<Integer> ports = freePorts(4);
+        mCallerPort = ports.get(0);
+        int readinessPort = ports.get(1);
         GatewaySettings settings =
                 new GatewaySettings(
                         new InstanceId("i"),
@@ -55,8 +63,8 @@
                         local(mCallerPort),
                         local(readinessPort),
                         "/ready",
-                        local(freePort()),
-                        local(freePort()),
+                        local(ports.get(2)),
+                        local(ports.get(3)),
                         List.of(),
                         local(store.port()),
                         new GatewaySettings.Budget(1, 100, 10_000),
--- /dev/null
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/store/SourcesTest.java
@@ -0,0 +1,104 @@
+package org.magnoliapick.gateway.internal.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.magnoliapick.gateway.Dialect;
+import org.magnoliapick.gateway.FakeDialect;
+import org.magnoliapick.gateway.StoreRecord;
+import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.gateway.internal.log.JsonLines;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.pool.ListedUpstream;
+import org.magnoliapick.pool.UpstreamDirectory;
+import org.magnoliapick.route.CallerLimits;
+import org.magnoliapick.route.TrafficConfig;
+
+final class SourcesTest {
+    private static final byte POISON = 99;
+
+    private final EventLog mLog =
+            new EventLog(new JsonLines(new PrintStream(OutputStream.nullOutputStream())), () -> 0);
+    private final List<Long> mVersions = new ArrayList<>();
+    private final UpstreamDirectory mDirectory = new UpstreamDirectory();
+
+    /** Reads versions from single bytes; one value makes it throw. */
+    private static final class ThrowingDialect extends FakeDialect {
+        private ThrowingDialect() {
+            super(80);
+        }
+
+        private static void check(byte[] value) {
+            if (value[0] == POISON) {
+                throw new IllegalArgumentException("poison");
+            }
+        }
+
+        @Override
+        public Optional<TrafficConfig> readConfig(String key, byte[] value) {
+            check(value);
+            return Optional.of(
+                    new TrafficConfig(
+                            value[0],
+                            List.of(),
+                            List.of(),
+                            List.of(),
+                            CallerLimits.INITIAL,
+                            OptionalLong.empty()));
+        }
+
+        @Override
+        public Optional<ListedUpstream> readUpstream(UpstreamId id, byte[] value) {
+            check(value);
+            return super.readUpstream(id, value);
+        }
+    }
+
+    private static StoreRecord record(String key, long offset, byte... value) {
+        return new StoreRecord(key, value, offset);
+    }
+
+    @Test
+    void neverGoesBackToAnOlderVersion() {
+        ConfigSource source =
+                new ConfigSource(
+                        new ThrowingDialect(), mLog, config -> mVersions.add(config.version()));
+        source.added(List.of(record("c", 0, (byte) 3), record("c", 1, (byte) 2)));
+        source.whole(List.of(record("c", 0, (byte) 3)), 2);
+        source.added(List.of(record("c", 3, (byte) 5)));
+        assertThat(mVersions).containsExactly(3L, 5L);
+    }
+
+    @Test
+    void goesOnAfterARecordThatCannotBeRead() {
+        ConfigSource source =
+                new ConfigSource(
+                        new ThrowingDialect(), mLog, config -> mVersions.add(config.version()));
+        source.added(List.of(record("c", 0, POISON), record("c", 1, (byte) 4)));
+        assertThat(mVersions).containsExactly(4L);
+    }
+
+    @Test
+    void otherEntriesHoldBesideOneThatCannotBeRead() {
+        Dialect dialect = new ThrowingDialect();
+        UpstreamSource source =
+                new UpstreamSource(dialect, mLog, mDirectory, () -> 0, () -> mVersions.add(0L));
+        source.whole(
+                List.of(
+                        record("good", 0, (byte) 1),
+                        record("bad", 1, POISON),
+                        record(" ", 2, (byte) 1),
+                        record("x".repeat(300), 3, (byte) 1)),
+                4);
+        assertThat(mDirectory.usable()).hasSize(1);
+        assertThat(mVersions).hasSize(1);
+        source.added(List.of(record("good", 5)));
+        assertThat(mDirectory.usable()).isEmpty();
+    }
+}
