Tell the story of a request from log files

Cause: magnoliapickctl explain asks the instances, which may be gone. Change: magnoliapickctl logs explain REQUEST FILE..., times that add up to the latency.

--- a/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/CommandEntry.java
+++ b/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/CommandEntry.java
@@ -24,6 +24,11 @@
     UPSTREAM_DRAIN("upstream drain", "cmdUpstreamDrain", 1, new DrainCommand("PUT")),
     UPSTREAM_RESUME("upstream resume", "cmdUpstreamResume", 1, new DrainCommand("DELETE")),
     EXPLAIN("explain", "cmdExplain", 1, new ExplainCommand()),
+    LOGS_EXPLAIN(
+            "logs explain",
+            "cmdLogsExplain",
+            1 + LogsExplainCommand.MAX_FILES,
+            new LogsExplainCommand()),
     REPORT_BURN("report burn", "cmdReport", 0, new ReportBurnCommand()),
     COMPLETION("completion", "cmdCompletion", 1, new CompletionCommand());
 
@@ -71,7 +76,7 @@
 
     /** Returns whether it works without routers. */
     boolean isLocal() {
-        return this == COMPLETION;
+        return this == COMPLETION || this == LOGS_EXPLAIN;
     }
 
     ExitCode run(Invocation invocation) {
--- a/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
+++ b/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
@@ -216,6 +216,34 @@
         assertThat(mOut.toString()).contains("drain").contains("--dry-run").contains("complete -o");
     }
 
+    @Test
+    void tellsTheStoryOfARequestFromLogFiles() throws IOException {
+        Path file = mDirectory.resolve("gateway.log");
+        Files.writeString(
+                file,
+                "1.2 node-1 {\"atMillis\":150,\"kind\":\"request.whole\",\"request\":\"ab\","
+                        + "\"workspace\":\"w\",\"route\":\"r\",\"configVersion\":4,"
+                        + "\"upstream\":\"u2\",\"waitedMillis\":14,\"firstMillis\":57,"
+                        + "\"tookMillis\":1543}\n"
+                        + "not JSON { ab\n"
+                        + "{\"atMillis\":100,\"kind\":\"attempt.ended\",\"request\":\"ab\","
+                        + "\"workspace\":\"w\",\"route\":\"r\",\"configVersion\":4,"
+                        + "\"end\":\"CUT\"}\n"
+                        + "{\"atMillis\":90,\"kind\":\"request.whole\",\"request\":\"abc\"}\n");
+        assertThat(run("logs", "explain", "ab", file.toString())).isZero();
+        assertThat(mOut.toString().lines())
+                .containsExactly(
+                        "Request ab of workspace w on route r, under configuration 4",
+                        "+0 ms  attempt.ended  end=CUT",
+                        "+50 ms  request.whole  upstream=u2  waitedMillis=14  firstMillis=57"
+                                + "  tookMillis=1543",
+                        "Took 1543 ms: waited 14 ms here, 43 ms until the first event, 1486 ms"
+                                + " until the end");
+        assertThat(run("logs", "explain", "ab", mDirectory.resolve("none").toString()))
+                .isEqualTo(2);
+        assertThat(run("logs", "explain", "ab")).isEqualTo(2);
+    }
+
     private int runAtRouter(String... args) {
         return run(List.of("--router", mRouter.address(), "--key", "k"), args);
     }
