Take nothing later than 2.5 s after a stop began, and ask callers to leave at once

The phases were looked at every 200 ms, and the call that asks callers to leave had been lost in an edit. Change: StopPlan decides from the present time, asked for each request; answers say close from the beginning of the stop.

--- /dev/null
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/relay/StopPlanTest.java
@@ -0,0 +1,32 @@
+package org.magnoliapick.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+final class StopPlanTest {
+    private final StopPlan mPlan = new StopPlan(1_000, 8_000);
+
+    @Test
+    void servesCallersUntilTheBalancerHasNoticed() {
+        assertThat(mPlan.takesRequests(3_100)).isTrue();
+    }
+
+    /** A request taken 3.13 s after the stop began was cut at its end (found by hunting). */
+    @Test
+    void takesNothingLaterThanThreeSecondsAfterTheStopBegan() {
+        assertThat(mPlan.takesRequests(4_000)).isFalse();
+        assertThat(mPlan.takesRequests(4_130)).isFalse();
+    }
+
+    @Test
+    void endsBeforeItsTimeIsOver() {
+        assertThat(mPlan.isOver(8_500)).isFalse();
+        assertThat(mPlan.isOver(8_900)).isTrue();
+    }
+
+    @Test
+    void aShortStopLeavesTimeToEndWhatWasTaken() {
+        assertThat(new StopPlan(0, 1_000).takesRequests(500)).isFalse();
+    }
+}
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -23,6 +24,7 @@
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.UpstreamDirectory;
 import org.magnoliapick.relay.FleetRetryBudget;
+import org.magnoliapick.relay.StopPlan;
 import org.magnoliapick.route.TrafficConfig;
 
 /** A gateway process: one event loop that reads, decides and writes. */
@@ -48,12 +50,6 @@
     /** How often the settings file is looked at, in milliseconds. */
     private static final long SETTINGS_MILLIS = 2_000;
 
-    /** How long a stopping instance still takes callers: the balancer asks twice. */
-    private static final long LEAVE_MILLIS = 3_000;
-
-    /** How long before its end a planned stop closes what is left, in milliseconds. */
-    private static final long STOP_MARGIN_MILLIS = 300;
-
     private final GatewaySettings mSettings;
     private final EventLog mLog;
     private final LongSupplier mClockMillis;
@@ -70,8 +66,7 @@
     private final CountDownLatch mStopped = new CountDownLatch(1);
     private long mLoadLoggedMillis;
     private volatile long mStopMillis;
-    private boolean mStopping;
-    private long mStopDeadlineMillis;
+    private Optional<StopPlan> mStopPlan = Optional.empty();
 
     /** Creates a gateway that is not started. */
     public Gateway(
@@ -146,7 +141,7 @@
     }
 
     private ControlServer.Page readiness() {
-        boolean ready = !mStopping && mContext.config().isPresent();
+        boolean ready = mStopPlan.isEmpty() && mContext.config().isPresent();
         return new ControlServer.Page(ready, ready ? "ready\n" : "not ready\n");
     }
 
@@ -233,8 +228,10 @@
     public void stop() throws InterruptedException {
         mLoop.execute(
                 () -> {
-                    mStopping = true;
-                    mStopDeadlineMillis = mClockMillis.getAsLong() + mStopMillis;
+                    StopPlan plan = new StopPlan(mClockMillis.getAsLong(), mStopMillis);
+                    mStopPlan = Optional.of(plan);
+                    mCallers.askToLeave();
+                    mRelays.stopping(plan);
                     mLog.line("instance.stopping").with("underWay", mRelays.underWay()).log();
                 });
         mStopped.await(mStopMillis, TimeUnit.MILLISECONDS);
@@ -242,16 +239,15 @@
     }
 
     private void stopStep(long nowMillis) {
-        if (!mStopping) {
+        if (mStopPlan.isEmpty()) {
             return;
         }
-        long leftMillis = mStopDeadlineMillis - nowMillis;
-        if (mStopMillis - leftMillis > LEAVE_MILLIS) {
+        StopPlan plan = mStopPlan.get();
+        if (!plan.takesRequests(nowMillis)) {
             mCallers.closeGradually();
-            mRelays.stopping();
         }
         boolean idle = mCallers.closing() && mCallers.connections() == 0;
-        if (idle || leftMillis < STOP_MARGIN_MILLIS) {
+        if (idle || plan.isOver(nowMillis)) {
             mStopped.countDown();
         }
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -16,6 +16,7 @@
 import org.magnoliapick.pool.PoolJob;
 import org.magnoliapick.relay.CallerPatience;
 import org.magnoliapick.relay.RelayRequest;
+import org.magnoliapick.relay.StopPlan;
 import org.magnoliapick.route.Route;
 import org.magnoliapick.route.TrafficConfig;
 import org.magnoliapick.route.WorkspaceRule;
@@ -36,7 +37,7 @@
     private final CallerPatience mPatience = new CallerPatience();
     private Pools mPools;
     private long mLastNumber;
-    private boolean mStopping;
+    private Optional<StopPlan> mStopPlan = Optional.empty();
 
     /** Creates an empty set. */
     public Relays(RelayContext context) {
@@ -61,9 +62,9 @@
         }
     }
 
-    /** Refuses requests from now on, because the instance stops. */
-    public void stopping() {
-        mStopping = true;
+    /** Takes requests from now on only as far as the plan of a stop allows. */
+    public void stopping(StopPlan plan) {
+        mStopPlan = Optional.of(plan);
     }
 
     /** Returns how many requests are under way. */
@@ -84,7 +85,7 @@
         Optional<TrafficConfig> config = mContext.config();
         if (call.isEmpty()) {
             relay.refuse(ErrorKind.BAD_REQUEST, OptionalLong.empty());
-        } else if (config.isEmpty() || mStopping) {
+        } else if (config.isEmpty() || !takesRequests()) {
             relay.refuse(ErrorKind.NOT_READY, OptionalLong.of(UNREADY_WAIT_MILLIS));
         } else {
             route(relay, head, call.get(), config.get(), arrivedMillis);
@@ -92,6 +93,10 @@
         return relay;
     }
 
+    private boolean takesRequests() {
+        return mStopPlan.isEmpty() || mStopPlan.get().takesRequests(mContext.nowMillis());
+    }
+
     private void route(
             Relay relay,
             HttpRequest head,
