Report to the dispatcher when the own use changes, not for every event; one reader of structs

Every event of a stream marked the own use as changed, so a report went to the dispatcher at the next tick of 5 ms though nothing in it was new. UsePacketCodec wrote and read structs as ShareCodec already did.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -173,9 +173,11 @@
         return mWaiting.size();
     }
 
-    /** Notes the first event or the head of an answer. */
-    public void answering(Ticket ticket, long nowMillis) {
+    /** Notes an event or the head of an answer; returns whether it was the first. */
+    public boolean answering(Ticket ticket, long nowMillis) {
+        boolean first = ticket.reading();
         load(ticket).ifPresent(load -> load.firstEvent(ticket, nowMillis));
+        return first && !ticket.reading();
     }
 
     /** Notes the end of an attempt; an absent end stands for a whole answer. */
@@ -311,7 +313,7 @@
         if (excluded || !load.health().takesWork(nowMillis)) {
             return Optional.empty();
         }
-        return mService.engine().isPresent()
+        return hasEngines()
                 ? Placing.engine(weigh(job, load), mService.engine().get(), nowMillis)
                 : Placing.plain(job, load, nowMillis);
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolSchedulerTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolSchedulerTest.java
@@ -36,6 +36,14 @@
         assertThat(next.get(0).job().account().value()).isEqualTo("small");
     }
 
+    @Test
+    void tellsOnlyTheFirstEventOfAnAnswerForAChangeOfUse() {
+        PoolScheduler pool = Jobs.scheduler("u");
+        Ticket ticket = start(pool.submit(Jobs.job(1, "w", "p", 9_000, 0), 0)).ticket();
+        assertThat(pool.answering(ticket, 30)).isTrue();
+        assertThat(pool.answering(ticket, 40)).isFalse();
+    }
+
     @Test
     void waitsForTheUpstreamThatKeepsThePromptForATime() {
         PoolScheduler pool = Jobs.scheduler("u", "v");
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -92,10 +92,9 @@
         pool(job.service()).withdraw(job);
     }
 
-    /** Notes the first event or head of an answer. */
+    /** Notes an event or the head of an answer. */
     public void answering(PoolJob job, Ticket ticket, long nowMillis) {
-        pool(job.service()).scheduler().answering(ticket, nowMillis);
-        mDirty = true;
+        mDirty |= pool(job.service()).scheduler().answering(ticket, nowMillis);
     }
 
     /** Notes the end of an attempt. */
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/ShareCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/ShareCodec.java
@@ -2,10 +2,7 @@
 
 import java.nio.ByteBuffer;
 import org.apache.thrift.TBase;
-import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.magnoliapick.rpc.gen.ShareAttained;
 import org.magnoliapick.rpc.gen.ShareDemand;
 import org.magnoliapick.rpc.gen.ShareGrants;
@@ -21,9 +18,10 @@
     private static final int GRANTS = 4;
     private static final int ATTAINED = 5;
 
-    private static final int MAX_STRING_BYTES = 1_024;
     private static final int MAX_LIST_SIZE = 100_000;
 
+    private static final CompactBytes BYTES = new CompactBytes(MAX_LIST_SIZE);
+
     private ShareCodec() {}
 
     /** Encodes a message. */
@@ -70,20 +68,10 @@
     }
 
     private static <T extends TBase<?, ?>> T fill(T struct, ShareItem item) throws TException {
-        new TDeserializer(protocol()).deserialize(struct, item.getContent());
-        return struct;
+        return BYTES.read(struct, item.getContent());
     }
 
     private static ShareItem item(int kind, TBase<?, ?> struct) {
-        try {
-            byte[] content = new TSerializer(protocol()).serialize(struct);
-            return new ShareItem(kind, ByteBuffer.wrap(content));
-        } catch (TException e) {
-            throw new IllegalStateException("A share message could not be written to memory", e);
-        }
-    }
-
-    private static TCompactProtocol.Factory protocol() {
-        return new TCompactProtocol.Factory(MAX_STRING_BYTES, MAX_LIST_SIZE);
+        return new ShareItem(kind, ByteBuffer.wrap(BYTES.write(struct)));
     }
 }
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
@@ -6,10 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
@@ -29,9 +26,10 @@
 
 /** Turns packets between gateways into bytes and back. */
 public final class UsePacketCodec {
-    private static final int MAX_STRING_BYTES = 1_024;
     private static final int MAX_LIST_SIZE = 10_000;
 
+    private static final CompactBytes BYTES = new CompactBytes(MAX_LIST_SIZE);
+
     private UsePacketCodec() {}
 
     /** Encodes a packet. */
@@ -50,11 +48,7 @@
                 message.addToWithdrawals(new UseWithdrawal(withdraw.number(), withdraw.service()));
             }
         }
-        try {
-            return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
-        } catch (TException e) {
-            throw new IllegalStateException("A packet is written to memory", e);
-        }
+        return BYTES.write(message);
     }
 
     /**
@@ -63,10 +57,8 @@
      * @param to the instance that received it
      */
     public static Optional<InstancePacket> decode(byte[] bytes, InstanceId to, long nowMillis) {
-        UsePacket message = new UsePacket();
         try {
-            new TDeserializer(new TCompactProtocol.Factory(MAX_STRING_BYTES, MAX_LIST_SIZE))
-                    .deserialize(message, bytes);
+            UsePacket message = BYTES.read(new UsePacket(), bytes);
             return Optional.of(packet(message, to, nowMillis));
         } catch (TException | RuntimeException e) {
             return Optional.empty();
