Let the system choose the ports of the path tests when they are bound

The test took ports that were free, closed them and bound them again; connections of peers in the same process may take one in between. Change: port 0 is bound and the gateway tells the port it got. All assertions stay. Conclusion: the race is gone, not only rarer.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/AddressPort.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/AddressPort.java
@@ -1,6 +1,7 @@
 package org.magnoliapick.gateway;
 
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 
 /**
  * An IP number and a port.
@@ -33,6 +34,11 @@
         return new AddressPort(text.substring(0, colon), port);
     }
 
+    /** Returns the port of a bound socket's address. */
+    public static int portOf(SocketAddress address) {
+        return ((InetSocketAddress) address).getPort();
+    }
+
     /** Returns the address for a socket; the host is an IP number, so nothing is looked up. */
     public InetSocketAddress socketAddress() {
         return new InetSocketAddress(host, port);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -64,6 +64,8 @@
     private final Connector mConnector = new Connector(mGroup);
     private final Dialect mDialect;
     private final CountDownLatch mStopped = new CountDownLatch(1);
+    private int mCallerPort;
+    private int mReadinessPort;
     private long mLoadLoggedMillis;
     private volatile long mStopMillis;
     private Optional<StopPlan> mStopPlan = Optional.empty();
@@ -98,9 +100,10 @@
      * @throws InterruptedException if interrupted before the addresses were bound
      */
     public void start() throws InterruptedException {
-        mCallers.listen(mSettings.callers());
-        new ControlServer(mGroup, Map.of(mSettings.readinessPath(), this::readiness))
-                .listen(mSettings.readiness());
+        mCallerPort = mCallers.listen(mSettings.callers());
+        mReadinessPort =
+                new ControlServer(mGroup, Map.of(mSettings.readinessPath(), this::readiness))
+                        .listen(mSettings.readiness());
         new ControlServer(mGroup, Map.of("/metrics", this::metrics)).listen(mSettings.control());
         mPeers.listen();
         mLoop.execute(this::follow);
@@ -116,6 +119,16 @@
                 .log();
     }
 
+    /** Returns the port where callers connect. */
+    int callerPort() {
+        return mCallerPort;
+    }
+
+    /** Returns the port where the balancer asks. */
+    int readinessPort() {
+        return mReadinessPort;
+    }
+
     private void follow() {
         ConfigSource config = new ConfigSource(mDialect, mLog, this::configured);
         follower(config).start();
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/GatewayProcess.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/GatewayProcess.java
@@ -46,6 +46,16 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
     }
 
+    /** Returns the port where callers connect, once it is started. */
+    public int callerPort() {
+        return mGateway.callerPort();
+    }
+
+    /** Returns the port where the balancer asks, once it is started. */
+    public int readinessPort() {
+        return mGateway.readinessPort();
+    }
+
     /** Stops gracefully; returns once all is answered or the time for it is over. */
     public void stop() {
         try {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
@@ -1,6 +1,7 @@
 package org.magnoliapick.gateway.internal.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -44,33 +45,36 @@
     }
 
     /**
-     * Listens.
+     * Listens; returns the port, which the system chooses where the address names port 0.
      *
      * @throws InterruptedException if interrupted before the address was bound
      */
-    public void listen(AddressPort address) throws InterruptedException {
-        new ServerBootstrap()
-                .group(mLoop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(
-                        new ChannelInitializer<SocketChannel>() {
-                            @Override
-                            protected void initChannel(SocketChannel channel) {
-                                channel.pipeline()
-                                        .addLast(
-                                                new HttpRequestDecoder(
-                                                        MAX_LINE_BYTES,
-                                                        mLimits.maxHeaderBytes(),
-                                                        MAX_PIECE_BYTES),
-                                                new HttpResponseEncoder(),
-                                                new CallerConnection(CallerServer.this));
-                            }
-                        })
-                .bind(address.socketAddress())
-                .sync();
+    public int listen(AddressPort address) throws InterruptedException {
+        Channel channel =
+                new ServerBootstrap()
+                        .group(mLoop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline()
+                                                .addLast(
+                                                        new HttpRequestDecoder(
+                                                                MAX_LINE_BYTES,
+                                                                mLimits.maxHeaderBytes(),
+                                                                MAX_PIECE_BYTES),
+                                                        new HttpResponseEncoder(),
+                                                        new CallerConnection(CallerServer.this));
+                                    }
+                                })
+                        .bind(address.socketAddress())
+                        .sync()
+                        .channel();
+        return AddressPort.portOf(channel.localAddress());
     }
 
     /** Sets what callers may send from now on. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ControlServer.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ControlServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -44,24 +45,28 @@
     public record Page(boolean ok, String text) {}
 
     /**
-     * Listens.
+     * Listens; returns the port, which the system chooses where the address names port 0.
      *
      * @throws InterruptedException if interrupted before the address was bound
      */
-    public void listen(AddressPort address) throws InterruptedException {
-        new ServerBootstrap()
-                .group(mLoop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childHandler(
-                        new ChannelInitializer<SocketChannel>() {
-                            @Override
-                            protected void initChannel(SocketChannel channel) {
-                                channel.pipeline().addLast(new HttpServerCodec(), new Answering());
-                            }
-                        })
-                .bind(address.socketAddress())
-                .sync();
+    public int listen(AddressPort address) throws InterruptedException {
+        Channel channel =
+                new ServerBootstrap()
+                        .group(mLoop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline()
+                                                .addLast(new HttpServerCodec(), new Answering());
+                                    }
+                                })
+                        .bind(address.socketAddress())
+                        .sync()
+                        .channel();
+        return AddressPort.portOf(channel.localAddress());
     }
 
     private FullHttpResponse answer(String uri) {
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
@@ -6,8 +6,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -23,6 +21,9 @@
 /** The data path against peers on loopback that misbehave on purpose. */
 @Timeout(60)
 final class GatewayPathTest {
+    /** Lets the system choose a port when it is bound. */
+    private static final int ANY_PORT = 0;
+
     private static final String OK =
             "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nContent-Length: 4\r\n\r\nbody";
     private static final String STREAM =
@@ -31,19 +32,6 @@
     private final List<AutoCloseable> mOpen = new ArrayList<>();
     private int mCallerPort;
 
-    /** Returns ports that are free and differ from each other. */
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            sockets.add(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
-        }
-        List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
-        for (ServerSocket socket : sockets) {
-            socket.close();
-        }
-        return ports;
-    }
-
     private static AddressPort local(int port) {
         return new AddressPort("127.0.0.1", port);
     }
@@ -53,18 +41,15 @@
         FakePeer store = new FakePeer(GatewayPathTest::emptyPage);
         mOpen.add(upstream);
         mOpen.add(store);
-        List<Integer> ports = freePorts(4);
-        mCallerPort = ports.get(0);
-        int readinessPort = ports.get(1);
         GatewaySettings settings =
                 new GatewaySettings(
                         new InstanceId("i"),
                         new FailureDomain("a"),
-                        local(mCallerPort),
-                        local(readinessPort),
+                        local(ANY_PORT),
+                        local(ANY_PORT),
                         "/ready",
-                        local(ports.get(2)),
-                        local(ports.get(3)),
+                        local(ANY_PORT),
+                        local(ANY_PORT),
                         List.of(),
                         local(store.port()),
                         new GatewaySettings.Budget(1, 100, 10_000),
@@ -77,7 +62,8 @@
                         new PrintStream(OutputStream.nullOutputStream()));
         process.start();
         mOpen.add(process::stop);
-        awaitReady(readinessPort);
+        mCallerPort = process.callerPort();
+        awaitReady(process.readinessPort());
         return upstream;
     }
 
