--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseReport.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseReport.java
@@ -18,8 +18,13 @@
   private static final org.apache.thrift.protocol.TField STARTED_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("startedMillis", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField POOLS_FIELD_DESC = new org.apache.thrift.protocol.TField("pools", org.apache.thrift.protocol.TType.LIST, (short)5);
-  private static final org.apache.thrift.protocol.TField KNOWN_ADDRESSES_FIELD_DESC = new org.apache.thrift.protocol.TField("knownAddresses", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("address", org.apache.thrift.protocol.TType.STRING, (short)7);
+  private static final org.apache.thrift.protocol.TField MILLI_CORES_FIELD_DESC = new org.apache.thrift.protocol.TField("milliCores", org.apache.thrift.protocol.TType.I32, (short)8);
+  private static final org.apache.thrift.protocol.TField WANTS_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("wantsReply", org.apache.thrift.protocol.TType.BOOL, (short)9);
+  private static final org.apache.thrift.protocol.TField DECLINES_DUTY_FIELD_DESC = new org.apache.thrift.protocol.TField("declinesDuty", org.apache.thrift.protocol.TType.BOOL, (short)10);
+  private static final org.apache.thrift.protocol.TField KNOWN_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("knownDigest", org.apache.thrift.protocol.TType.I64, (short)11);
+  private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.LIST, (short)12);
+  private static final org.apache.thrift.protocol.TField LIST_OFFSET_FIELD_DESC = new org.apache.thrift.protocol.TField("listOffset", org.apache.thrift.protocol.TType.I64, (short)13);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UseReportStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UseReportTupleSchemeFactory();
@@ -29,11 +34,22 @@
   public long startedMillis; // required
   public long sequence; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<UsePool> pools; // required
+  public @org.apache.thrift.annotation.Nullable java.lang.String address; // required
+  public int milliCores; // required
+  public boolean wantsReply; // optional
+  public boolean declinesDuty; // optional
   /**
-   * Addresses of instances that the sender knows; sent now and then.
+   * The digest of the members that the receiver told the sender of last.
    */
-  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> knownAddresses; // optional
-  public @org.apache.thrift.annotation.Nullable java.lang.String address; // required
+  public long knownDigest; // optional
+  /**
+   * Instances that the sender hears; sent where the receiver's digest is another.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<UseMember> members; // optional
+  /**
+   * Up to which offset the sender knows the list of upstreams.
+   */
+  public long listOffset; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -42,11 +58,22 @@
     STARTED_MILLIS((short)3, "startedMillis"),
     SEQUENCE((short)4, "sequence"),
     POOLS((short)5, "pools"),
+    ADDRESS((short)7, "address"),
+    MILLI_CORES((short)8, "milliCores"),
+    WANTS_REPLY((short)9, "wantsReply"),
+    DECLINES_DUTY((short)10, "declinesDuty"),
+    /**
+     * The digest of the members that the receiver told the sender of last.
+     */
+    KNOWN_DIGEST((short)11, "knownDigest"),
+    /**
+     * Instances that the sender hears; sent where the receiver's digest is another.
+     */
+    MEMBERS((short)12, "members"),
     /**
-     * Addresses of instances that the sender knows; sent now and then.
+     * Up to which offset the sender knows the list of upstreams.
      */
-    KNOWN_ADDRESSES((short)6, "knownAddresses"),
-    ADDRESS((short)7, "address");
+    LIST_OFFSET((short)13, "listOffset");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -72,10 +99,20 @@
           return SEQUENCE;
         case 5: // POOLS
           return POOLS;
-        case 6: // KNOWN_ADDRESSES
-          return KNOWN_ADDRESSES;
         case 7: // ADDRESS
           return ADDRESS;
+        case 8: // MILLI_CORES
+          return MILLI_CORES;
+        case 9: // WANTS_REPLY
+          return WANTS_REPLY;
+        case 10: // DECLINES_DUTY
+          return DECLINES_DUTY;
+        case 11: // KNOWN_DIGEST
+          return KNOWN_DIGEST;
+        case 12: // MEMBERS
+          return MEMBERS;
+        case 13: // LIST_OFFSET
+          return LIST_OFFSET;
         default:
           return null;
       }
@@ -121,8 +158,13 @@
   // isset id assignments
   private static final int __STARTEDMILLIS_ISSET_ID = 0;
   private static final int __SEQUENCE_ISSET_ID = 1;
+  private static final int __MILLICORES_ISSET_ID = 2;
+  private static final int __WANTSREPLY_ISSET_ID = 3;
+  private static final int __DECLINESDUTY_ISSET_ID = 4;
+  private static final int __KNOWNDIGEST_ISSET_ID = 5;
+  private static final int __LISTOFFSET_ISSET_ID = 6;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.KNOWN_ADDRESSES};
+  private static final _Fields optionals[] = {_Fields.WANTS_REPLY,_Fields.DECLINES_DUTY,_Fields.KNOWN_DIGEST,_Fields.MEMBERS,_Fields.LIST_OFFSET};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -137,11 +179,21 @@
     tmpMap.put(_Fields.POOLS, new org.apache.thrift.meta_data.FieldMetaData("pools", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UsePool.class))));
-    tmpMap.put(_Fields.KNOWN_ADDRESSES, new org.apache.thrift.meta_data.FieldMetaData("knownAddresses", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     tmpMap.put(_Fields.ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("address", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.MILLI_CORES, new org.apache.thrift.meta_data.FieldMetaData("milliCores", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.WANTS_REPLY, new org.apache.thrift.meta_data.FieldMetaData("wantsReply", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.DECLINES_DUTY, new org.apache.thrift.meta_data.FieldMetaData("declinesDuty", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.KNOWN_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("knownDigest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.MEMBERS, new org.apache.thrift.meta_data.FieldMetaData("members", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseMember.class))));
+    tmpMap.put(_Fields.LIST_OFFSET, new org.apache.thrift.meta_data.FieldMetaData("listOffset", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UseReport.class, metaDataMap);
   }
@@ -155,7 +207,8 @@
     long startedMillis,
     long sequence,
     java.util.List<UsePool> pools,
-    java.lang.String address)
+    java.lang.String address,
+    int milliCores)
   {
     this();
     this.fromInstance = fromInstance;
@@ -166,6 +219,8 @@
     setSequenceIsSet(true);
     this.pools = pools;
     this.address = address;
+    this.milliCores = milliCores;
+    setMilliCoresIsSet(true);
   }
 
   /**
@@ -188,13 +243,21 @@
       }
       this.pools = __this__pools;
     }
-    if (other.isSetKnownAddresses()) {
-      java.util.List<java.lang.String> __this__knownAddresses = new java.util.ArrayList<java.lang.String>(other.knownAddresses);
-      this.knownAddresses = __this__knownAddresses;
-    }
     if (other.isSetAddress()) {
       this.address = other.address;
     }
+    this.milliCores = other.milliCores;
+    this.wantsReply = other.wantsReply;
+    this.declinesDuty = other.declinesDuty;
+    this.knownDigest = other.knownDigest;
+    if (other.isSetMembers()) {
+      java.util.List<UseMember> __this__members = new java.util.ArrayList<UseMember>(other.members.size());
+      for (UseMember other_element : other.members) {
+        __this__members.add(new UseMember(other_element));
+      }
+      this.members = __this__members;
+    }
+    this.listOffset = other.listOffset;
   }
 
   @Override
@@ -211,8 +274,18 @@
     setSequenceIsSet(false);
     this.sequence = 0;
     this.pools = null;
-    this.knownAddresses = null;
     this.address = null;
+    setMilliCoresIsSet(false);
+    this.milliCores = 0;
+    setWantsReplyIsSet(false);
+    this.wantsReply = false;
+    setDeclinesDutyIsSet(false);
+    this.declinesDuty = false;
+    setKnownDigestIsSet(false);
+    this.knownDigest = 0;
+    this.members = null;
+    setListOffsetIsSet(false);
+    this.listOffset = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -352,78 +425,205 @@
     }
   }
 
-  public int getKnownAddressesSize() {
-    return (this.knownAddresses == null) ? 0 : this.knownAddresses.size();
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAddress() {
+    return this.address;
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<java.lang.String> getKnownAddressesIterator() {
-    return (this.knownAddresses == null) ? null : this.knownAddresses.iterator();
+  public UseReport setAddress(@org.apache.thrift.annotation.Nullable java.lang.String address) {
+    this.address = address;
+    return this;
+  }
+
+  public void unsetAddress() {
+    this.address = null;
   }
 
-  public void addToKnownAddresses(java.lang.String elem) {
-    if (this.knownAddresses == null) {
-      this.knownAddresses = new java.util.ArrayList<java.lang.String>();
+  /** Returns true if field address is set (has been assigned a value) and false otherwise */
+  public boolean isSetAddress() {
+    return this.address != null;
+  }
+
+  public void setAddressIsSet(boolean value) {
+    if (!value) {
+      this.address = null;
     }
-    this.knownAddresses.add(elem);
+  }
+
+  public int getMilliCores() {
+    return this.milliCores;
+  }
+
+  public UseReport setMilliCores(int milliCores) {
+    this.milliCores = milliCores;
+    setMilliCoresIsSet(true);
+    return this;
+  }
+
+  public void unsetMilliCores() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MILLICORES_ISSET_ID);
+  }
+
+  /** Returns true if field milliCores is set (has been assigned a value) and false otherwise */
+  public boolean isSetMilliCores() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MILLICORES_ISSET_ID);
+  }
+
+  public void setMilliCoresIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MILLICORES_ISSET_ID, value);
+  }
+
+  public boolean isWantsReply() {
+    return this.wantsReply;
+  }
+
+  public UseReport setWantsReply(boolean wantsReply) {
+    this.wantsReply = wantsReply;
+    setWantsReplyIsSet(true);
+    return this;
+  }
+
+  public void unsetWantsReply() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WANTSREPLY_ISSET_ID);
+  }
+
+  /** Returns true if field wantsReply is set (has been assigned a value) and false otherwise */
+  public boolean isSetWantsReply() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WANTSREPLY_ISSET_ID);
+  }
+
+  public void setWantsReplyIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WANTSREPLY_ISSET_ID, value);
+  }
+
+  public boolean isDeclinesDuty() {
+    return this.declinesDuty;
+  }
+
+  public UseReport setDeclinesDuty(boolean declinesDuty) {
+    this.declinesDuty = declinesDuty;
+    setDeclinesDutyIsSet(true);
+    return this;
+  }
+
+  public void unsetDeclinesDuty() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __DECLINESDUTY_ISSET_ID);
+  }
+
+  /** Returns true if field declinesDuty is set (has been assigned a value) and false otherwise */
+  public boolean isSetDeclinesDuty() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __DECLINESDUTY_ISSET_ID);
+  }
+
+  public void setDeclinesDutyIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __DECLINESDUTY_ISSET_ID, value);
   }
 
   /**
-   * Addresses of instances that the sender knows; sent now and then.
+   * The digest of the members that the receiver told the sender of last.
    */
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<java.lang.String> getKnownAddresses() {
-    return this.knownAddresses;
+  public long getKnownDigest() {
+    return this.knownDigest;
   }
 
   /**
-   * Addresses of instances that the sender knows; sent now and then.
+   * The digest of the members that the receiver told the sender of last.
    */
-  public UseReport setKnownAddresses(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> knownAddresses) {
-    this.knownAddresses = knownAddresses;
+  public UseReport setKnownDigest(long knownDigest) {
+    this.knownDigest = knownDigest;
+    setKnownDigestIsSet(true);
     return this;
   }
 
-  public void unsetKnownAddresses() {
-    this.knownAddresses = null;
+  public void unsetKnownDigest() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __KNOWNDIGEST_ISSET_ID);
   }
 
-  /** Returns true if field knownAddresses is set (has been assigned a value) and false otherwise */
-  public boolean isSetKnownAddresses() {
-    return this.knownAddresses != null;
+  /** Returns true if field knownDigest is set (has been assigned a value) and false otherwise */
+  public boolean isSetKnownDigest() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __KNOWNDIGEST_ISSET_ID);
   }
 
-  public void setKnownAddressesIsSet(boolean value) {
-    if (!value) {
-      this.knownAddresses = null;
+  public void setKnownDigestIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __KNOWNDIGEST_ISSET_ID, value);
+  }
+
+  public int getMembersSize() {
+    return (this.members == null) ? 0 : this.members.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<UseMember> getMembersIterator() {
+    return (this.members == null) ? null : this.members.iterator();
+  }
+
+  public void addToMembers(UseMember elem) {
+    if (this.members == null) {
+      this.members = new java.util.ArrayList<UseMember>();
     }
+    this.members.add(elem);
   }
 
+  /**
+   * Instances that the sender hears; sent where the receiver's digest is another.
+   */
   @org.apache.thrift.annotation.Nullable
-  public java.lang.String getAddress() {
-    return this.address;
+  public java.util.List<UseMember> getMembers() {
+    return this.members;
   }
 
-  public UseReport setAddress(@org.apache.thrift.annotation.Nullable java.lang.String address) {
-    this.address = address;
+  /**
+   * Instances that the sender hears; sent where the receiver's digest is another.
+   */
+  public UseReport setMembers(@org.apache.thrift.annotation.Nullable java.util.List<UseMember> members) {
+    this.members = members;
     return this;
   }
 
-  public void unsetAddress() {
-    this.address = null;
+  public void unsetMembers() {
+    this.members = null;
   }
 
-  /** Returns true if field address is set (has been assigned a value) and false otherwise */
-  public boolean isSetAddress() {
-    return this.address != null;
+  /** Returns true if field members is set (has been assigned a value) and false otherwise */
+  public boolean isSetMembers() {
+    return this.members != null;
   }
 
-  public void setAddressIsSet(boolean value) {
+  public void setMembersIsSet(boolean value) {
     if (!value) {
-      this.address = null;
+      this.members = null;
     }
   }
 
+  /**
+   * Up to which offset the sender knows the list of upstreams.
+   */
+  public long getListOffset() {
+    return this.listOffset;
+  }
+
+  /**
+   * Up to which offset the sender knows the list of upstreams.
+   */
+  public UseReport setListOffset(long listOffset) {
+    this.listOffset = listOffset;
+    setListOffsetIsSet(true);
+    return this;
+  }
+
+  public void unsetListOffset() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LISTOFFSET_ISSET_ID);
+  }
+
+  /** Returns true if field listOffset is set (has been assigned a value) and false otherwise */
+  public boolean isSetListOffset() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LISTOFFSET_ISSET_ID);
+  }
+
+  public void setListOffsetIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LISTOFFSET_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -467,19 +667,59 @@
       }
       break;
 
-    case KNOWN_ADDRESSES:
+    case ADDRESS:
       if (value == null) {
-        unsetKnownAddresses();
+        unsetAddress();
       } else {
-        setKnownAddresses((java.util.List<java.lang.String>)value);
+        setAddress((java.lang.String)value);
       }
       break;
 
-    case ADDRESS:
+    case MILLI_CORES:
       if (value == null) {
-        unsetAddress();
+        unsetMilliCores();
       } else {
-        setAddress((java.lang.String)value);
+        setMilliCores((java.lang.Integer)value);
+      }
+      break;
+
+    case WANTS_REPLY:
+      if (value == null) {
+        unsetWantsReply();
+      } else {
+        setWantsReply((java.lang.Boolean)value);
+      }
+      break;
+
+    case DECLINES_DUTY:
+      if (value == null) {
+        unsetDeclinesDuty();
+      } else {
+        setDeclinesDuty((java.lang.Boolean)value);
+      }
+      break;
+
+    case KNOWN_DIGEST:
+      if (value == null) {
+        unsetKnownDigest();
+      } else {
+        setKnownDigest((java.lang.Long)value);
+      }
+      break;
+
+    case MEMBERS:
+      if (value == null) {
+        unsetMembers();
+      } else {
+        setMembers((java.util.List<UseMember>)value);
+      }
+      break;
+
+    case LIST_OFFSET:
+      if (value == null) {
+        unsetListOffset();
+      } else {
+        setListOffset((java.lang.Long)value);
       }
       break;
 
@@ -505,12 +745,27 @@
     case POOLS:
       return getPools();
 
-    case KNOWN_ADDRESSES:
-      return getKnownAddresses();
-
     case ADDRESS:
       return getAddress();
 
+    case MILLI_CORES:
+      return getMilliCores();
+
+    case WANTS_REPLY:
+      return isWantsReply();
+
+    case DECLINES_DUTY:
+      return isDeclinesDuty();
+
+    case KNOWN_DIGEST:
+      return getKnownDigest();
+
+    case MEMBERS:
+      return getMembers();
+
+    case LIST_OFFSET:
+      return getListOffset();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -533,10 +788,20 @@
       return isSetSequence();
     case POOLS:
       return isSetPools();
-    case KNOWN_ADDRESSES:
-      return isSetKnownAddresses();
     case ADDRESS:
       return isSetAddress();
+    case MILLI_CORES:
+      return isSetMilliCores();
+    case WANTS_REPLY:
+      return isSetWantsReply();
+    case DECLINES_DUTY:
+      return isSetDeclinesDuty();
+    case KNOWN_DIGEST:
+      return isSetKnownDigest();
+    case MEMBERS:
+      return isSetMembers();
+    case LIST_OFFSET:
+      return isSetListOffset();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -599,15 +864,6 @@
         return false;
     }
 
-    boolean this_present_knownAddresses = true && this.isSetKnownAddresses();
-    boolean that_present_knownAddresses = true && that.isSetKnownAddresses();
-    if (this_present_knownAddresses || that_present_knownAddresses) {
-      if (!(this_present_knownAddresses && that_present_knownAddresses))
-        return false;
-      if (!this.knownAddresses.equals(that.knownAddresses))
-        return false;
-    }
-
     boolean this_present_address = true && this.isSetAddress();
     boolean that_present_address = true && that.isSetAddress();
     if (this_present_address || that_present_address) {
@@ -617,6 +873,60 @@
         return false;
     }
 
+    boolean this_present_milliCores = true;
+    boolean that_present_milliCores = true;
+    if (this_present_milliCores || that_present_milliCores) {
+      if (!(this_present_milliCores && that_present_milliCores))
+        return false;
+      if (this.milliCores != that.milliCores)
+        return false;
+    }
+
+    boolean this_present_wantsReply = true && this.isSetWantsReply();
+    boolean that_present_wantsReply = true && that.isSetWantsReply();
+    if (this_present_wantsReply || that_present_wantsReply) {
+      if (!(this_present_wantsReply && that_present_wantsReply))
+        return false;
+      if (this.wantsReply != that.wantsReply)
+        return false;
+    }
+
+    boolean this_present_declinesDuty = true && this.isSetDeclinesDuty();
+    boolean that_present_declinesDuty = true && that.isSetDeclinesDuty();
+    if (this_present_declinesDuty || that_present_declinesDuty) {
+      if (!(this_present_declinesDuty && that_present_declinesDuty))
+        return false;
+      if (this.declinesDuty != that.declinesDuty)
+        return false;
+    }
+
+    boolean this_present_knownDigest = true && this.isSetKnownDigest();
+    boolean that_present_knownDigest = true && that.isSetKnownDigest();
+    if (this_present_knownDigest || that_present_knownDigest) {
+      if (!(this_present_knownDigest && that_present_knownDigest))
+        return false;
+      if (this.knownDigest != that.knownDigest)
+        return false;
+    }
+
+    boolean this_present_members = true && this.isSetMembers();
+    boolean that_present_members = true && that.isSetMembers();
+    if (this_present_members || that_present_members) {
+      if (!(this_present_members && that_present_members))
+        return false;
+      if (!this.members.equals(that.members))
+        return false;
+    }
+
+    boolean this_present_listOffset = true && this.isSetListOffset();
+    boolean that_present_listOffset = true && that.isSetListOffset();
+    if (this_present_listOffset || that_present_listOffset) {
+      if (!(this_present_listOffset && that_present_listOffset))
+        return false;
+      if (this.listOffset != that.listOffset)
+        return false;
+    }
+
     return true;
   }
 
@@ -640,14 +950,32 @@
     if (isSetPools())
       hashCode = hashCode * 8191 + pools.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetKnownAddresses()) ? 131071 : 524287);
-    if (isSetKnownAddresses())
-      hashCode = hashCode * 8191 + knownAddresses.hashCode();
-
     hashCode = hashCode * 8191 + ((isSetAddress()) ? 131071 : 524287);
     if (isSetAddress())
       hashCode = hashCode * 8191 + address.hashCode();
 
+    hashCode = hashCode * 8191 + milliCores;
+
+    hashCode = hashCode * 8191 + ((isSetWantsReply()) ? 131071 : 524287);
+    if (isSetWantsReply())
+      hashCode = hashCode * 8191 + ((wantsReply) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + ((isSetDeclinesDuty()) ? 131071 : 524287);
+    if (isSetDeclinesDuty())
+      hashCode = hashCode * 8191 + ((declinesDuty) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + ((isSetKnownDigest()) ? 131071 : 524287);
+    if (isSetKnownDigest())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(knownDigest);
+
+    hashCode = hashCode * 8191 + ((isSetMembers()) ? 131071 : 524287);
+    if (isSetMembers())
+      hashCode = hashCode * 8191 + members.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetListOffset()) ? 131071 : 524287);
+    if (isSetListOffset())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(listOffset);
+
     return hashCode;
   }
 
@@ -709,22 +1037,72 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetKnownAddresses(), other.isSetKnownAddresses());
+    lastComparison = java.lang.Boolean.compare(isSetAddress(), other.isSetAddress());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetKnownAddresses()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.knownAddresses, other.knownAddresses);
+    if (isSetAddress()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.address, other.address);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetAddress(), other.isSetAddress());
+    lastComparison = java.lang.Boolean.compare(isSetMilliCores(), other.isSetMilliCores());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetAddress()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.address, other.address);
+    if (isSetMilliCores()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.milliCores, other.milliCores);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetWantsReply(), other.isSetWantsReply());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWantsReply()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.wantsReply, other.wantsReply);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetDeclinesDuty(), other.isSetDeclinesDuty());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDeclinesDuty()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.declinesDuty, other.declinesDuty);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetKnownDigest(), other.isSetKnownDigest());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetKnownDigest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.knownDigest, other.knownDigest);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetMembers(), other.isSetMembers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMembers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.members, other.members);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetListOffset(), other.isSetListOffset());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetListOffset()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.listOffset, other.listOffset);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -784,16 +1162,6 @@
       sb.append(this.pools);
     }
     first = false;
-    if (isSetKnownAddresses()) {
-      if (!first) sb.append(", ");
-      sb.append("knownAddresses:");
-      if (this.knownAddresses == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.knownAddresses);
-      }
-      first = false;
-    }
     if (!first) sb.append(", ");
     sb.append("address:");
     if (this.address == null) {
@@ -802,6 +1170,44 @@
       sb.append(this.address);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("milliCores:");
+    sb.append(this.milliCores);
+    first = false;
+    if (isSetWantsReply()) {
+      if (!first) sb.append(", ");
+      sb.append("wantsReply:");
+      sb.append(this.wantsReply);
+      first = false;
+    }
+    if (isSetDeclinesDuty()) {
+      if (!first) sb.append(", ");
+      sb.append("declinesDuty:");
+      sb.append(this.declinesDuty);
+      first = false;
+    }
+    if (isSetKnownDigest()) {
+      if (!first) sb.append(", ");
+      sb.append("knownDigest:");
+      sb.append(this.knownDigest);
+      first = false;
+    }
+    if (isSetMembers()) {
+      if (!first) sb.append(", ");
+      sb.append("members:");
+      if (this.members == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.members);
+      }
+      first = false;
+    }
+    if (isSetListOffset()) {
+      if (!first) sb.append(", ");
+      sb.append("listOffset:");
+      sb.append(this.listOffset);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -822,6 +1228,7 @@
     if (address == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'address' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'milliCores' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -914,28 +1321,69 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // KNOWN_ADDRESSES
+          case 7: // ADDRESS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.address = iprot.readString();
+              struct.setAddressIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 8: // MILLI_CORES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.milliCores = iprot.readI32();
+              struct.setMilliCoresIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 9: // WANTS_REPLY
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.wantsReply = iprot.readBool();
+              struct.setWantsReplyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 10: // DECLINES_DUTY
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.declinesDuty = iprot.readBool();
+              struct.setDeclinesDutyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 11: // KNOWN_DIGEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.knownDigest = iprot.readI64();
+              struct.setKnownDigestIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 12: // MEMBERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
-                struct.knownAddresses = new java.util.ArrayList<java.lang.String>(_list19.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem20;
+                struct.members = new java.util.ArrayList<UseMember>(_list19.size);
+                @org.apache.thrift.annotation.Nullable UseMember _elem20;
                 for (int _i21 = 0; _i21 < _list19.size; ++_i21)
                 {
-                  _elem20 = iprot.readString();
-                  struct.knownAddresses.add(_elem20);
+                  _elem20 = new UseMember();
+                  _elem20.read(iprot);
+                  struct.members.add(_elem20);
                 }
                 iprot.readListEnd();
               }
-              struct.setKnownAddressesIsSet(true);
+              struct.setMembersIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 7: // ADDRESS
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.address = iprot.readString();
-              struct.setAddressIsSet(true);
+          case 13: // LIST_OFFSET
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.listOffset = iprot.readI64();
+              struct.setListOffsetIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -954,6 +1402,9 @@
       if (!struct.isSetSequence()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'sequence' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetMilliCores()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'milliCores' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -990,23 +1441,46 @@
         }
         oprot.writeFieldEnd();
       }
-      if (struct.knownAddresses != null) {
-        if (struct.isSetKnownAddresses()) {
-          oprot.writeFieldBegin(KNOWN_ADDRESSES_FIELD_DESC);
+      if (struct.address != null) {
+        oprot.writeFieldBegin(ADDRESS_FIELD_DESC);
+        oprot.writeString(struct.address);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(MILLI_CORES_FIELD_DESC);
+      oprot.writeI32(struct.milliCores);
+      oprot.writeFieldEnd();
+      if (struct.isSetWantsReply()) {
+        oprot.writeFieldBegin(WANTS_REPLY_FIELD_DESC);
+        oprot.writeBool(struct.wantsReply);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetDeclinesDuty()) {
+        oprot.writeFieldBegin(DECLINES_DUTY_FIELD_DESC);
+        oprot.writeBool(struct.declinesDuty);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetKnownDigest()) {
+        oprot.writeFieldBegin(KNOWN_DIGEST_FIELD_DESC);
+        oprot.writeI64(struct.knownDigest);
+        oprot.writeFieldEnd();
+      }
+      if (struct.members != null) {
+        if (struct.isSetMembers()) {
+          oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
           {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.knownAddresses.size()));
-            for (java.lang.String _iter23 : struct.knownAddresses)
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.members.size()));
+            for (UseMember _iter23 : struct.members)
             {
-              oprot.writeString(_iter23);
+              _iter23.write(oprot);
             }
             oprot.writeListEnd();
           }
           oprot.writeFieldEnd();
         }
       }
-      if (struct.address != null) {
-        oprot.writeFieldBegin(ADDRESS_FIELD_DESC);
-        oprot.writeString(struct.address);
+      if (struct.isSetListOffset()) {
+        oprot.writeFieldBegin(LIST_OFFSET_FIELD_DESC);
+        oprot.writeI64(struct.listOffset);
         oprot.writeFieldEnd();
       }
       oprot.writeFieldStop();
@@ -1039,20 +1513,45 @@
         }
       }
       oprot.writeString(struct.address);
+      oprot.writeI32(struct.milliCores);
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetKnownAddresses()) {
+      if (struct.isSetWantsReply()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
-      if (struct.isSetKnownAddresses()) {
+      if (struct.isSetDeclinesDuty()) {
+        optionals.set(1);
+      }
+      if (struct.isSetKnownDigest()) {
+        optionals.set(2);
+      }
+      if (struct.isSetMembers()) {
+        optionals.set(3);
+      }
+      if (struct.isSetListOffset()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetWantsReply()) {
+        oprot.writeBool(struct.wantsReply);
+      }
+      if (struct.isSetDeclinesDuty()) {
+        oprot.writeBool(struct.declinesDuty);
+      }
+      if (struct.isSetKnownDigest()) {
+        oprot.writeI64(struct.knownDigest);
+      }
+      if (struct.isSetMembers()) {
         {
-          oprot.writeI32(struct.knownAddresses.size());
-          for (java.lang.String _iter25 : struct.knownAddresses)
+          oprot.writeI32(struct.members.size());
+          for (UseMember _iter25 : struct.members)
           {
-            oprot.writeString(_iter25);
+            _iter25.write(oprot);
           }
         }
       }
+      if (struct.isSetListOffset()) {
+        oprot.writeI64(struct.listOffset);
+      }
     }
 
     @Override
@@ -1080,19 +1579,38 @@
       struct.setPoolsIsSet(true);
       struct.address = iprot.readString();
       struct.setAddressIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      struct.milliCores = iprot.readI32();
+      struct.setMilliCoresIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
+        struct.wantsReply = iprot.readBool();
+        struct.setWantsReplyIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.declinesDuty = iprot.readBool();
+        struct.setDeclinesDutyIsSet(true);
+      }
+      if (incoming.get(2)) {
+        struct.knownDigest = iprot.readI64();
+        struct.setKnownDigestIsSet(true);
+      }
+      if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.knownAddresses = new java.util.ArrayList<java.lang.String>(_list29.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem30;
+          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.members = new java.util.ArrayList<UseMember>(_list29.size);
+          @org.apache.thrift.annotation.Nullable UseMember _elem30;
           for (int _i31 = 0; _i31 < _list29.size; ++_i31)
           {
-            _elem30 = iprot.readString();
-            struct.knownAddresses.add(_elem30);
+            _elem30 = new UseMember();
+            _elem30.read(iprot);
+            struct.members.add(_elem30);
           }
         }
-        struct.setKnownAddressesIsSet(true);
+        struct.setMembersIsSet(true);
+      }
+      if (incoming.get(4)) {
+        struct.listOffset = iprot.readI64();
+        struct.setListOffsetIsSet(true);
       }
     }
   }
--- a/magnoliapick-rpc/src/main/thrift/use.thrift
+++ b/magnoliapick-rpc/src/main/thrift/use.thrift
@@ -25,6 +25,16 @@
   5: required i64 waitingTokens
   /** What the least served workspace that waits at the sender was served; absent if none waits. */
   4: optional i64 waitingLevelTokens
+  /** Whether this is the use of all for whom the sender decides. */
+  6: optional bool whole
+}
+
+/** An instance that the sender hears itself. */
+struct UseMember {
+  1: required string instanceName
+  2: required string domain
+  3: required string address
+  4: required i32 milliCores
 }
 
 /** One datagram. */
@@ -34,9 +44,33 @@
   3: required i64 startedMillis
   4: required i64 sequence
   5: required list<UsePool> pools
-  /** Addresses of instances that the sender knows; sent now and then. */
-  6: optional list<string> knownAddresses
   7: required string address
+  8: required i32 milliCores
+  9: optional bool wantsReply
+  10: optional bool declinesDuty
+  /** The digest of the members that the receiver told the sender of last. */
+  11: optional i64 knownDigest
+  /** Instances that the sender hears; sent where the receiver's digest is another. */
+  12: optional list<UseMember> members
+  /** Up to which offset the sender knows the list of upstreams. */
+  13: optional i64 listOffset
+}
+
+/** A record of the list of upstreams; without a value its key was dropped. */
+struct UseListChange {
+  1: required string key
+  2: required i64 offset
+  3: optional binary value
+}
+
+/** What the sender read in the store lately. */
+struct UseStoreNews {
+  1: required i64 fromOffset
+  2: required i64 listOffset
+  3: required i64 listAgeMillis
+  4: optional list<UseListChange> changes
+  5: required i64 configOffset
+  6: required i64 configAgeMillis
 }
 
 struct UsePart {
@@ -89,4 +123,5 @@
   5: optional list<UseAsk> asks
   6: optional list<UseDecision> decisions
   7: optional list<UseWithdrawal> withdrawals
+  8: optional UseStoreNews news
 }
--- a/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +15,9 @@
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.member.ListChange;
+import org.magnoliapick.member.Member;
+import org.magnoliapick.member.StoreNews;
 import org.magnoliapick.pool.InstancePacket;
 import org.magnoliapick.pool.InstanceReport;
 import org.magnoliapick.pool.PoolCause;
@@ -55,20 +59,19 @@
                         List.of(new UpstreamUse(new UpstreamId("u"), 3, 400, 5_000, 70)),
                         Map.of(new WorkspaceId("w"), 9L),
                         11,
-                        OptionalLong.of(4));
+                        OptionalLong.of(4),
+                        true);
+        Member member = new Member(FROM, new FailureDomain("a"), "1:1", 1_500);
+        ListChange put = new ListChange("k", ByteBuffer.wrap(new byte[] {1, 2}), 7);
+        ListChange dropped = new ListChange("l", ByteBuffer.allocate(0), 8);
         return new InstancePacket(
                 FROM,
                 "1:1",
                 Optional.of(
                         new InstanceReport(
-                                FROM,
-                                new FailureDomain("a"),
-                                "1:1",
-                                5,
-                                6,
-                                List.of(use),
-                                List.of("2:1"))),
+                                member, 5, 6, true, true, List.of(use), -9, 10, List.of(member))),
                 Map.of("s", 8L),
+                Optional.of(new StoreNews(6, 9, 20, List.of(put, dropped), 3, 400)),
                 List.of(
                         new PoolMessage.Ask(TO, job()),
                         new PoolMessage.Decide(TO, "s", new PoolDecision.Queued(1)),
