Bound an event of a stream, count only whole events as progress; hear a restart set back

Cause, found in reading for the table of harms: an event without an end was kept whole and scanned anew with every piece; each byte counted as progress, so a resumable stream that trickles never went elsewhere; reports are ordered by when a life began by the time of day, so an instance that restarts after its clock was set back was not heard for up to a minute.

The new tests were not run against the code before.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
@@ -17,6 +17,9 @@
     /** How long it counts that an instance declined a duty, in milliseconds. */
     private static final long DECLINED_MILLIS = 1_000;
 
+    /** How long datagrams of a life that ended may still arrive, in milliseconds. */
+    private static final long OLD_LIFE_MILLIS = 500;
+
     private final boolean mSeed;
     private final long mKnownMillis;
     private Optional<Member> mMember = Optional.empty();
@@ -40,7 +43,7 @@
 
     /** Takes a report; returns whether it is news. */
     boolean heard(InstanceReport report, long nowMillis) {
-        if (mReport.isPresent() && !report.newerThan(mReport.get())) {
+        if (mReport.isPresent() && !isNews(report, mReport.get(), nowMillis)) {
             return false;
         }
         named(report.sender());
@@ -50,6 +53,13 @@
         return true;
     }
 
+    /** A new life may say that it began earlier than the last one: its clock was set back. */
+    private boolean isNews(InstanceReport report, InstanceReport known, long nowMillis) {
+        boolean otherLife = report.startedMillis() != known.startedMillis();
+        return report.newerThan(known)
+                || (otherLife && sinceHeardMillis(nowMillis) > OLD_LIFE_MILLIS);
+    }
+
     void heard(long nowMillis) {
         mHeardMillis = nowMillis;
         mUnanswered = 0;
--- a/magnoliapick-core/src/test/java/org/magnoliapick/member/PeerTableTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/member/PeerTableTest.java
@@ -131,6 +131,16 @@
         assertThat(table.heard(report(1, 6, 1), 12)).isTrue();
     }
 
+    @Test
+    void hearsARestartWhoseClockWasSetBack() {
+        fleet(2);
+        PeerTable table = mTables.get(address(0));
+        table.heard(report(1, 5_000, 2), 10);
+        assertThat(table.heard(report(1, 1_000, 1), 100)).isFalse();
+        assertThat(table.heard(report(1, 1_000, 2), 900)).isTrue();
+        assertThat(table.heard(report(1, 1_000, 3), 910)).isTrue();
+    }
+
     private static InstanceReport report(int number, long started, long sequence) {
         return new InstanceReport(
                 member(number), started, sequence, false, false, List.of(), 0, 0, List.of());
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolNodeTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolNodeTest.java
@@ -63,6 +63,16 @@
         assertThat(mAsker.tick(Optional.of(DISPATCHER), 61)).hasSize(1);
     }
 
+    /** The dispatcher was frozen after it was asked, and grants when it wakes. */
+    @Test
+    void aGrantThatComesAfterTheAskerDecidedStartsNothing() {
+        mAsker.submit(Jobs.job(1, "w", "p", 100, 0), Optional.of(DISPATCHER), 0);
+        assertThat(mAsker.tick(Optional.of(DISPATCHER), 61)).hasSize(1);
+        carryToDispatcher(5_000);
+        assertThat(carryBack(5_001)).isEmpty();
+        assertThat(mAsker.waiting()).isZero();
+    }
+
     @Test
     void goesToTheNextDispatcherWithWhatWaits() {
         InstanceId other = new InstanceId("other");
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/EventSplitter.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/EventSplitter.java
@@ -9,6 +9,9 @@
 
 /** Cuts a stream of server-sent events into whole events. */
 final class EventSplitter {
+    /** The most bytes of an event that are kept until its end comes. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
     private static final byte LINE_END = '\n';
     private static final String ID_FIELD = "id:";
 
@@ -19,6 +22,9 @@
         mRest.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
         List<Event> events = new ArrayList<>(2);
         int start = mRest.readerIndex();
+        if (tooLong()) {
+            return events;
+        }
         int end = eventEnd(start);
         while (end > 0) {
             ByteBuf event = mRest.copy(start, end - start);
@@ -31,6 +37,11 @@
         return events;
     }
 
+    /** Returns whether the event under way has become too long to be waited for. */
+    boolean tooLong() {
+        return mRest.readableBytes() > MAX_EVENT_BYTES;
+    }
+
     /** Returns whether part of an event is there. */
     boolean inEvent() {
         return mRest.isReadable();
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -19,6 +19,7 @@
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.relay.RelayRequest;
 import org.magnoliapick.relay.RelayStep;
+import org.magnoliapick.relay.StreamWatch;
 import org.magnoliapick.request.AttemptEnd;
 
 /** One attempt of a request at one upstream. */
@@ -26,15 +27,6 @@
     /** The largest plain answer that is held until it is whole. */
     private static final int MAX_HELD_BYTES = 1 << 20;
 
-    /** How long a resumable stream may pause between events before it is resumed elsewhere. */
-    private static final int SILENT_PAUSES = 4;
-
-    /** After how many objectives a resumable stream without a first event is asked elsewhere. */
-    private static final int FIRST_OBJECTIVES = 2;
-
-    /** The shortest silence after which a stream is asked elsewhere, in milliseconds. */
-    private static final long LEAST_SILENT_MILLIS = 800;
-
     /** Statuses by which a caller is promised that its request did not run. */
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
@@ -49,7 +41,7 @@
     private AnswerHead mAnswerHead;
     private ByteBuf mHeld;
     private EventSplitter mEvents;
-    private long mLastPieceMillis;
+    private StreamWatch mWatch;
 
     UpstreamCall(RelayContext context, RelayRequest request, Relay relay, ListedUpstream upstream) {
         mContext = context;
@@ -70,7 +62,7 @@
             return;
         }
         mConnection = connection;
-        mLastPieceMillis = mContext.nowMillis();
+        mWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
         if (connection.send(forwardedHead(), mRelay.body(), this)) {
             mSent = true;
             mRelay.attempts().sent(mUpstream.id());
@@ -125,14 +117,7 @@
 
     /** Looks whether a resumable stream has gone silent. */
     void tick(long nowMillis) {
-        if (!mSent || !mRequest.route().resumable() || !mRequest.route().kind().streamed()) {
-            return;
-        }
-        long silentMillis =
-                mEvents == null
-                        ? FIRST_OBJECTIVES * mRequest.route().objectiveMillis()
-                        : SILENT_PAUSES * mRequest.route().pauseObjectiveMillis();
-        if (nowMillis - mLastPieceMillis > Math.max(LEAST_SILENT_MILLIS, silentMillis)) {
+        if (mSent && mWatch.isSilent(nowMillis)) {
             mConnection.cancel();
             failed(AttemptEnd.TIMEOUT);
         }
@@ -150,6 +135,7 @@
         boolean success = isSuccess(head.status()) && answer.signed();
         if (mRequest.route().kind().streamed() && success) {
             mEvents = new EventSplitter();
+            mWatch.progressed(mContext.nowMillis());
         } else {
             mRelay.answering();
             mHeld = Unpooled.buffer(1_024);
@@ -163,7 +149,6 @@
 
     @Override
     public void content(ByteBuf piece) {
-        mLastPieceMillis = mContext.nowMillis();
         if (mEvents != null) {
             events(piece);
         } else if (mHeld.readableBytes() + piece.readableBytes() > MAX_HELD_BYTES) {
@@ -176,6 +161,7 @@
 
     private void events(ByteBuf bytes) {
         for (EventSplitter.Event event : mEvents.feed(bytes)) {
+            mWatch.progressed(mContext.nowMillis());
             mRelay.answering();
             boolean repeated =
                     event.id().isPresent()
@@ -188,7 +174,10 @@
             event.id().ifPresent(mRelay.attempts()::eventRelayed);
             mRelay.answer().piece(event.bytes());
         }
-        if (!mOver && !mRelay.answer().writable()) {
+        if (!mOver && mEvents.tooLong()) {
+            mConnection.cancel();
+            failed(AttemptEnd.MALFORMED);
+        } else if (!mOver && !mRelay.answer().writable()) {
             mConnection.reading(false);
         }
     }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
@@ -251,6 +251,26 @@
         assertThat(upstream.requests()).hasSize(2);
     }
 
+    /** Bytes without end in an event must not fill the memory. */
+    @Test
+    void resumesAStreamElsewhereWhoseEventHasNoEnd() throws Exception {
+        String endless = "x".repeat(2 << 20);
+        FakePeer upstream =
+                gateway(
+                        (request, socket) -> {
+                            FakePeer.write(socket, STREAM.formatted(id(request)));
+                            if (request.contains("After: 1")) {
+                                FakePeer.write(socket, "e\r\nid: 2\ndata:b\n\n\r\n0\r\n\r\n");
+                                return true;
+                            }
+                            FakePeer.write(socket, "e\r\nid: 1\ndata:a\n\n\r\n200000\r\n");
+                            FakePeer.write(socket, endless);
+                            return true;
+                        });
+        assertThat(call("stream", "1")).contains("id: 2\ndata:b\n\n").endsWith("0\r\n\r\n");
+        assertThat(upstream.requests()).hasSize(2);
+    }
+
     @Test
     void cancelsTheAttemptOfACallerThatLeaves() throws Exception {
         FakePeer upstream =
