--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
@@ -34,6 +34,24 @@
         return SettingsReader.read(file);
     }
 
+    @Test
+    void readsTheMachineAndTheBounds() throws Exception {
+        GatewaySettings settings =
+                read(
+                        GOOD
+                                + "machine: {processorShare: 0.75, processorSpeed: 2}\n"
+                                + "bounds: {leavingMillis: 4000, configMillis: 3000}\n");
+        assertThat(settings.milliCores()).isEqualTo(1_500);
+        assertThat(settings.bounds()).isEqualTo(new GatewaySettings.Bounds(4_000, 3_000));
+    }
+
+    @Test
+    void doesWithoutTheMachineAndTheBounds() throws Exception {
+        GatewaySettings settings = read(GOOD + "machine: {processorShare: , processorSpeed: }\n");
+        assertThat(settings.milliCores()).isEqualTo(1_000);
+        assertThat(settings.bounds()).isEqualTo(new GatewaySettings.Bounds(2_000, 2_000));
+    }
+
     @Test
     void readsAllKeys() throws Exception {
         GatewaySettings settings = read(GOOD);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/store/SourcesTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/store/SourcesTest.java
@@ -4,6 +4,7 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -16,6 +17,7 @@
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.gateway.internal.log.JsonLines;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.member.ListChange;
 import org.magnoliapick.member.StoreRelay;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.pool.UpstreamDirectory;
@@ -115,6 +117,28 @@
         assertThat(mDirectory.usable()).isEmpty();
     }
 
+    @Test
+    void takesWhatAnotherInstanceReadInTheOrderOfTheList() {
+        UpstreamSource source =
+                new UpstreamSource(
+                        new ThrowingDialect(),
+                        mLog,
+                        mDirectory,
+                        mRelay,
+                        () -> 0,
+                        IN_FORCE_MILLIS,
+                        () -> mVersions.add(0L));
+        source.whole(List.of(record("old", 1, (byte) 1)), 5);
+        ListChange listed = new ListChange("new", ByteBuffer.wrap(new byte[] {1}), 6);
+        ListChange ended = new ListChange("old", ByteBuffer.allocate(0), 7);
+        source.told(List.of(listed, ended));
+        assertThat(mDirectory.usable())
+                .extracting(each -> each.id().value())
+                .containsExactly("new");
+        source.told(List.of(new ListChange("new", ByteBuffer.allocate(0), 2)));
+        assertThat(mDirectory.usable()).hasSize(1);
+    }
+
     /** Replays settings-and-keys, seed 44454958874: a call waited 15 s beside the version's add. */
     @Test
     void aVersionThatAWaitingCallMissedIsReadInTime() {
