Decide in a class of its own who is turned away

Change: Refusals holds who is late, how long the queue takes and when to come back. Behaviour as before; a refusal without upstreams is found by the same comparison.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -23,21 +23,12 @@
  * still use the answer.
  */
 public final class PoolScheduler {
-    /** The part of its objective that a request may wait before it is refused as too late. */
-    private static final double FREE_WAIT_SHARE = 0.125;
-
     /** The part of its objective that a request waits for an upstream that keeps its prompt. */
     private static final double KEPT_WAIT_SHARE = 0.35;
 
     /** Tokens that are not worth waiting for: a few milliseconds of reading. */
     private static final long NEGLIGIBLE_TOKENS = 512;
 
-    /** How often it is looked which of many waiting requests will be late, in milliseconds. */
-    private static final long REFUSE_MILLIS = 10;
-
-    /** How many waiting requests are looked at each time. */
-    private static final int FEW_WAITING = 32;
-
     /** How many requests that fit nowhere are passed over, such as those too large for now. */
     private static final int MOST_PASSED_OVER = 40;
 
@@ -50,15 +41,16 @@
     private final WaitingJobs mWaiting = new WaitingJobs();
     private final WaitingLevels mLevels = new WaitingLevels();
     private final HomeUpstreams mHomes = new HomeUpstreams();
+    private final Refusals mRefusals;
     private ServiceSpec mService;
     private long mGrants;
-    private long mRefusedMillis = Long.MIN_VALUE / 2;
 
     /** Creates a pool without upstreams. */
     public PoolScheduler(ServiceSpec service, PoolSettings settings) {
         mService = service;
         mSettings = settings;
         mServed = new ServedWindow(settings.shareWindowMillis());
+        mRefusals = new Refusals(settings, mWaiting, mServed, mLevels);
     }
 
     /** Takes over what the operator says of the service now. */
@@ -127,7 +119,9 @@
     /** Takes a request; returns what is decided now, about it and about others. */
     public List<PoolAction> submit(PoolJob job, long nowMillis) {
         if (mWaiting.size() >= mSettings.maxWaiting()) {
-            return List.of(refuse(job, PoolCause.QUEUE_FULL, nowMillis));
+            return List.of(
+                    mRefusals.refuse(
+                            job, PoolCause.QUEUE_FULL, readPerMilli(nowMillis), nowMillis));
         }
         for (UpstreamId lost : job.lost()) {
             UpstreamLoad load = mLoads.get(lost);
@@ -225,11 +219,12 @@
         while (startNext(actions, nowMillis)) {
             // Each start changes the order of what is left.
         }
-        boolean fewWait = mWaiting.size() <= FEW_WAITING;
-        if (fewWait || nowMillis - mRefusedMillis >= REFUSE_MILLIS) {
-            mRefusedMillis = nowMillis;
-            refuseLate(actions, nowMillis);
-        }
+        actions.addAll(
+                mRefusals.late(
+                        mLoads.isEmpty() ? PoolCause.NO_UPSTREAM : PoolCause.TOO_LATE,
+                        job -> firstEventMillis(job, nowMillis),
+                        readPerMilli(nowMillis),
+                        nowMillis));
         return actions;
     }
 
@@ -270,42 +265,12 @@
                         || Placing.hasRoom(load, mService.engine().get(), nowMillis));
     }
 
-    private void refuseLate(List<PoolAction> actions, long nowMillis) {
-        long tokensBefore = 0;
-        double readPerMilli = readPerMilli(nowMillis);
-        List<PoolAction> refusals = new ArrayList<>();
-        Iterator<WaitingJob> order = mWaiting.order(mServed, nowMillis);
-        while (order.hasNext()) {
-            WaitingJob entry = order.next();
-            long waitMillis = waitMillis(tokensBefore, readPerMilli, nowMillis);
-            Optional<PoolAction> action = refuseLate(entry, waitMillis, nowMillis);
-            if (action.isPresent()) {
-                refusals.add(action.get());
-            } else {
-                tokensBefore += entry.job().prompt().promptTokens();
-            }
-        }
-        refusals.forEach(each -> mWaiting.remove(each.job()));
-        actions.addAll(refusals);
-    }
-
-    /**
-     * Returns how long it takes until a request that waits here gets its turn, in milliseconds.
-     *
-     * @param tokensBefore tokens of the requests that go before it here; the others' queues are
-     *     taken to hold as much before it as this one, in proportion
-     * @param readPerMilli how many tokens all upstreams together read in a millisecond
-     */
-    private long waitMillis(long tokensBefore, double readPerMilli, long nowMillis) {
-        double here = Math.max(1, mWaiting.tokens());
-        double fleet = (here + mLevels.waitingTokens(nowMillis)) / here;
-        return mService.engine().isEmpty() || readPerMilli == 0
-                ? 0
-                : (long) (tokensBefore * fleet / readPerMilli);
-    }
-
+    /** Returns how many tokens all engines together read in a millisecond; 0 without engines. */
     private double readPerMilli(long nowMillis) {
         double perMilli = 0;
+        if (!hasEngines()) {
+            return perMilli;
+        }
         for (UpstreamLoad load : mLoads.values()) {
             perMilli += load.tokensPerMilli(nowMillis) * READING_SHARE;
         }
@@ -409,22 +374,6 @@
         return new PoolAction.Start(job, ticket, mGrants, cause);
     }
 
-    private Optional<PoolAction> refuseLate(WaitingJob entry, long waitMillis, long nowMillis) {
-        PoolJob job = entry.job();
-        long freeWait = (long) (job.objectiveMillis() * FREE_WAIT_SHARE);
-        if (job.underWay() || nowMillis - job.submittedMillis() < freeWait) {
-            return Optional.empty();
-        }
-        if (mLoads.isEmpty()) {
-            return Optional.of(refuse(job, PoolCause.NO_UPSTREAM, nowMillis));
-        }
-        long firstMillis =
-                entry.firstEventMillis(() -> firstEventMillis(job, nowMillis), nowMillis);
-        return nowMillis + waitMillis + firstMillis > job.onTimeMillis()
-                ? Optional.of(refuse(job, PoolCause.TOO_LATE, nowMillis))
-                : Optional.empty();
-    }
-
     private long firstEventMillis(PoolJob job, long nowMillis) {
         return weigh(job, mLoads.values()).stream()
                 .mapToLong(each -> each.load().firstEventMillis(each.newTokens(), nowMillis))
@@ -432,25 +381,6 @@
                 .orElse(Long.MAX_VALUE);
     }
 
-    private PoolAction refuse(PoolJob job, PoolCause cause, long nowMillis) {
-        return new PoolAction.Refuse(job, retryAfterMillis(job, nowMillis), cause);
-    }
-
-    /**
-     * Returns when a refused caller should come back: once what waits now is done, and its
-     * workspace is no further ahead of those that wait; spread, so that not all come together.
-     */
-    private long retryAfterMillis(PoolJob job, long nowMillis) {
-        double served = mServed.of(job.account(), nowMillis);
-        double level = Math.max(1, Math.min(served, mLevels.leastTokens(nowMillis)));
-        double aheadMillis =
-                served <= level ? 0 : mSettings.shareWindowMillis() * Math.log(served / level);
-        double queueMillis = waitMillis(mWaiting.tokens(), readPerMilli(nowMillis), nowMillis);
-        double leastMillis = job.objectiveMillis();
-        double spread = 0.75 + 0.5 * ((job.id().hashCode() & 0xff) / 256.0);
-        return (long) (spread * Math.max(leastMillis, Math.max(aheadMillis, queueMillis)));
-    }
-
     private Optional<UpstreamLoad> load(Ticket ticket) {
         return Optional.ofNullable(mLoads.get(ticket.upstream().id()))
                 .filter(load -> load.upstream().sameLife(ticket.upstream()));
