Log the prompt parts and the progress of a lost attempt

Cause: a lost request's line told neither which prompt parts it had nor whether an event had arrived, so the hypotheses on the poison requests could not be told apart. Change: attempt.ended has parts and eventReceived. No decision changes.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/Prompt.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/Prompt.java
@@ -1,6 +1,7 @@
 package org.magnoliapick.relay;
 
 import java.util.List;
+import java.util.stream.Collectors;
 
 /**
  * The size that a request for a model engine states.
@@ -26,6 +27,11 @@
                 .sum();
     }
 
+    /** Returns the identifiers of the parts in order, for log lines. */
+    public String describeParts() {
+        return parts.stream().map(PromptPart::id).collect(Collectors.joining(" "));
+    }
+
     /**
      * Returns the cost in tokens that counts towards a workspace's share: a token costs one in
      * prefill and two when generated.
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -45,6 +45,10 @@
 
     private Placement mPlacement;
     private long mFirstResponseMillis = -1;
+
+    /** Whether the current attempt received a complete event. */
+    private boolean mEventReceived;
+
     private boolean mClosed;
 
     Relay(
@@ -110,6 +114,7 @@
     /** Starts an attempt at the upstream that the pool chose. */
     void startAttempt(PoolAction.Start start) {
         mTicket = start.ticket();
+        mEventReceived = false;
         long nowMillis = mContext.nowMillis();
         if (mRequest.isExpired(nowMillis)) {
             // The decision arrived after the request's deadline, as on a stalled machine.
@@ -250,6 +255,12 @@
         mPools.recordProgress(mJob, mTicket, mContext.nowMillis());
     }
 
+    /** Records that a complete event was received. */
+    void eventReceived() {
+        mEventReceived = true;
+        responseProgressed();
+    }
+
     /** Ends the request after the complete response was relayed. */
     void responseCompleted() {
         releaseTicket(Optional.empty());
@@ -276,6 +287,8 @@
         long nowMillis = mContext.nowMillis();
         withPlacement(logLine("attempt.ended"))
                 .with("end", end)
+                .with("eventReceived", mEventReceived)
+                .with("parts", mRequest.prompt().describeParts())
                 .with("tookMillis", elapsedMillis())
                 .log();
         mLostUpstream = end.isUpstreamUnavailable() ? Set.of(mTicket.upstream().id()) : Set.of();
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -172,7 +172,7 @@
     private void relayEvents(ByteBuf bytes) {
         for (EventSplitter.Event event : mSplitter.feed(bytes)) {
             mStallWatch.progressed(mContext.nowMillis());
-            mRelay.responseProgressed();
+            mRelay.eventReceived();
             boolean alreadyRelayed =
                     event.id().isPresent()
                             && event.id().getAsLong() <= mRelay.attempts().lastEvent();
