Treat a response without length as broken if nothing of its body came

Callers saw: a stream or answer that states no length, and whose upstream crashed right after the head, reached them as a complete, empty success. Cause: the end of the connection was taken as the end of any response without length; only a stream that ended inside an event counted as broken. Evidence: retriesAStreamWithoutLengthThatEndsBeforeItsFirstEvent and doesNotRelayAnEmptyBodyWithoutLength; the first failed before (200 with an empty body where 502 after a second attempt is due). Change: such a response counts as cut, so it is retried where that is allowed; 204 has no body and stays complete. New tests for the end of a stream without length after and inside an event pass with the old code, too. Why it works: an answer of the upstreams has a body. A cut at the boundary of two events cannot be told from the end; that remains.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -41,6 +42,7 @@
     private ResponseHead mParsedHead;
     private ByteBuf mBuffered;
     private EventSplitter mSplitter;
+    private boolean mEventReceived;
     private StreamWatch mStallWatch;
 
     UpstreamCall(RelayContext context, RelayRequest request, Relay relay, ListedUpstream upstream) {
@@ -172,6 +174,7 @@
     private void relayEvents(ByteBuf bytes) {
         for (EventSplitter.Event event : mSplitter.feed(bytes)) {
             mStallWatch.progressed(mContext.nowMillis());
+            mEventReceived = true;
             mRelay.eventReceived();
             boolean alreadyRelayed =
                     event.id().isPresent()
@@ -222,8 +225,21 @@
         }
     }
 
+    /**
+     * Returns whether the connection ended after the head of a response that states no length: the
+     * upstream may have crashed before it wrote anything of the body.
+     */
+    private boolean mayLackItsBody(boolean bodyReceived) {
+        return !bodyReceived
+                && !mResponse.status().equals(HttpResponseStatus.NO_CONTENT)
+                && !HttpUtil.isTransferEncodingChunked(mResponse)
+                && !HttpUtil.isContentLengthSet(mResponse);
+    }
+
     private void completeBuffered() {
-        if (mParsedHead.signed()) {
+        if (mayLackItsBody(mBuffered.isReadable())) {
+            endAttempt(AttemptEnd.CUT);
+        } else if (mParsedHead.signed()) {
             relayBuffered();
             mRelay.responseCompleted();
         } else {
@@ -232,7 +248,7 @@
     }
 
     private void completeStream() {
-        if (mSplitter.hasPartialEvent()) {
+        if (mSplitter.hasPartialEvent() || mayLackItsBody(mEventReceived)) {
             endAttempt(AttemptEnd.CUT);
             return;
         }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
@@ -260,6 +260,68 @@
         assertThat(upstream.requests()).hasSize(2);
     }
 
+    /** A crash right after the head looks like the end of a response without length. */
+    @Test
+    void retriesAStreamWithoutLengthThatEndsBeforeItsFirstEvent() throws Exception {
+        FakeServer upstream = startGateway((request, socket) -> endWithoutLength(socket, request));
+        assertThat(send("stream", "1")).startsWith("HTTP/1.1 502");
+        assertThat(upstream.requests()).hasSize(2);
+    }
+
+    private static boolean endWithoutLength(Socket socket, String request) throws IOException {
+        FakeServer.write(
+                socket, "HTTP/1.1 200 OK\r\nId: " + requestId(request) + "\r\nSigned: x\r\n\r\n");
+        return false;
+    }
+
+    @Test
+    void doesNotRelayAnEmptyBodyWithoutLength() throws Exception {
+        startGateway((request, socket) -> endWithoutLength(socket, request));
+        assertThat(send("unsafe", "1")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void relaysAResponseThatHasNoBody() throws Exception {
+        startGateway(
+                (request, socket) -> {
+                    FakeServer.write(
+                            socket,
+                            "HTTP/1.1 204 No Content\r\nId: "
+                                    + requestId(request)
+                                    + "\r\nSigned: x\r\n\r\n");
+                    return true;
+                });
+        assertThat(send("unsafe", "1")).startsWith("HTTP/1.1 204");
+    }
+
+    @Test
+    void relaysAStreamWithoutLengthThatEndsAfterAnEvent() throws Exception {
+        startGateway(
+                (request, socket) -> {
+                    endWithoutLength(socket, request);
+                    FakeServer.write(socket, "id: 1\ndata:a\n\n");
+                    return false;
+                });
+        assertThat(send("stream", "1")).contains("id: 1\ndata:a\n\n").endsWith("0\r\n\r\n");
+    }
+
+    @Test
+    void resumesAStreamWithoutLengthThatEndsInsideAnEvent() throws Exception {
+        FakeServer upstream =
+                startGateway(
+                        (request, socket) -> {
+                            endWithoutLength(socket, request);
+                            FakeServer.write(
+                                    socket,
+                                    request.contains("After: 1")
+                                            ? "id: 2\ndata:b\n\n"
+                                            : "id: 1\ndata:a\n\nid: 2\nda");
+                            return false;
+                        });
+        assertThat(send("stream", "1")).contains("id: 2\ndata:b\n\n").endsWith("0\r\n\r\n");
+        assertThat(upstream.requests()).hasSize(2);
+    }
+
     /** An event that never ends must not exhaust memory; the stream resumes in a new attempt. */
     @Test
     void resumesAStreamAfterAnOversizedEvent() throws Exception {
