Let the gateway tests wait for the list of upstreams

Cause: the tests' readiness waits for the configuration only; a request that came before the list was answered 503 no-upstream. Change: startGateway also waits for the upstream; the tests fail as before otherwise.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectPart.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectPart.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.magnoliapick.lib.UpstreamId;
 
 /** A prompt part with the crashes at which its requests were unanswered. */
 final class SuspectPart {
@@ -124,9 +123,4 @@
                 .map(each -> each.upstream() + "/" + String.join(",", each.requests()))
                 .collect(Collectors.joining(" "));
     }
-
-    /** Returns the crashed upstreams. */
-    List<UpstreamId> upstreams() {
-        return unrefuted().stream().map(Sighting::upstream).toList();
-    }
 }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
@@ -41,9 +41,18 @@
         mCloseables.add(process::stop);
         mCallerPort = process.callerPort();
         awaitReady(process.readinessPort());
+        awaitUpstreamListed();
         return upstream;
     }
 
+    /** A ready gateway may not have read the list of upstreams yet. */
+    private void awaitUpstreamListed() {
+        while (!mLog.toString(StandardCharsets.UTF_8).contains("upstream.listed")) {
+            assertThat(Thread.currentThread().isInterrupted()).isFalse();
+            Thread.onSpinWait();
+        }
+    }
+
     private static boolean respondEmptyPage(String request, Socket socket) throws IOException {
         FakeServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         return true;
