Count a lost connection as a crash only if the upstream refuses a new one

Cause: an instance took the loss of its only connection to an upstream for a crash. In a large fleet most instances have one connection or none to an upstream, and a busy upstream resets surplus ones. The new test asserts on exactly the check that was missing. A connection that is accepted stays in the pool for later requests; one that times out proves nothing. Why it works: a crashed process has no listener and its host refuses at once; the logs show refused connections within 8 ms of a crash. An upstream that is out of connections still accepts them.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ConnectionPool.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ConnectionPool.java
@@ -1,10 +1,12 @@
 package org.magnoliapick.gateway.internal.http;
 
+import io.netty.channel.ConnectTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.magnoliapick.gateway.AddressPort;
 
 /**
@@ -53,13 +55,33 @@
                     mOpen.add(connection);
                     acquired.accept(connection);
                 },
-                failed);
+                cause -> failed.run());
     }
 
-    /** Returns whether any connection to the server is open, idle or in use. */
-    public boolean hasOpenConnection() {
+    /**
+     * Checks whether the server refuses connections, as after a crash of its process, by opening
+     * one unless any is open. A server that accepts it, or does not respond, has not crashed as far
+     * as known.
+     *
+     * @param refused runs if the server refuses the connection
+     */
+    public void checkRefused(LongSupplier clockMillis, Runnable refused) {
         mOpen.removeIf(each -> !each.isOpen());
-        return !mOpen.isEmpty();
+        if (!mOpen.isEmpty()) {
+            return;
+        }
+        mConnector.open(
+                mAddress,
+                CONNECT_TIMEOUT_MILLIS,
+                connection -> {
+                    mOpen.add(connection);
+                    release(connection, clockMillis.getAsLong());
+                },
+                cause -> {
+                    if (!(cause instanceof ConnectTimeoutException)) {
+                        refused.run();
+                    }
+                });
     }
 
     /** Returns a connection to the pool after its response; closes it if it cannot be reused. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/Connector.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/Connector.java
@@ -23,13 +23,13 @@
      *
      * @param timeoutMillis the connect timeout
      * @param opened receives the connection once it is established
-     * @param failed runs if the connection could not be established
+     * @param failed receives the cause if the connection could not be established
      */
     public void open(
             AddressPort address,
             int timeoutMillis,
             Consumer<HttpConnection> opened,
-            Runnable failed) {
+            Consumer<Throwable> failed) {
         ResponseDecoder decoder = new ResponseDecoder();
         HttpConnection connection = new HttpConnection(decoder);
         Bootstrap bootstrap = new Bootstrap().group(mLoop).channel(NioSocketChannel.class);
@@ -49,7 +49,7 @@
                             if (future.isSuccess()) {
                                 opened.accept(connection);
                             } else {
-                                failed.run();
+                                failed.accept(future.cause());
                             }
                         });
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.magnoliapick.gateway.AddressPort;
 import org.magnoliapick.gateway.internal.http.ConnectionPool;
@@ -279,14 +280,16 @@
     }
 
     /**
-     * Returns whether an upstream that lost a connection seems to have crashed: it is not leaving,
-     * and no connection of this instance to it is open.
+     * Checks whether an upstream that lost a connection has crashed: it is not leaving, no
+     * connection of this instance to it is open, and it refuses a new one. One that only resets
+     * surplus connections accepts it.
+     *
+     * @param crashed runs if it has crashed
      */
-    public boolean seemsCrashed(ListedUpstream upstream) {
-        boolean listed =
-                mDirectory.usable(upstream.service()).stream().anyMatch(upstream::sameIncarnation);
-        UpstreamConnections entry = mConnections.get(upstream.id());
-        return listed && (entry == null || !entry.connections().hasOpenConnection());
+    public void checkCrash(ListedUpstream upstream, LongSupplier clockMillis, Runnable crashed) {
+        if (mDirectory.usable(upstream.service()).stream().anyMatch(upstream::sameIncarnation)) {
+            connections(upstream).checkRefused(clockMillis, crashed);
+        }
     }
 
     private ServicePool pool(String service) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/QuarantineMonitor.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/QuarantineMonitor.java
@@ -36,16 +36,18 @@
     }
 
     private void checkCrash(RelayRequest request, ListedUpstream upstream, long lostMillis) {
-        if (mPools.seemsCrashed(upstream)) {
-            mContext.quarantine()
-                    .recordCrash(
-                            request.service(),
-                            request.prompt(),
-                            request.id(),
-                            upstream.id(),
-                            upstream.startedMillis(),
-                            lostMillis);
-        }
+        mPools.checkCrash(
+                upstream,
+                mContext::nowMillis,
+                () ->
+                        mContext.quarantine()
+                                .recordCrash(
+                                        request.service(),
+                                        request.prompt(),
+                                        request.id(),
+                                        upstream.id(),
+                                        upstream.startedMillis(),
+                                        lostMillis));
     }
 
     /** Forgets old crashes and logs all changes; returns whether a quarantine has begun. */
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeServer.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeServer.java
@@ -45,6 +45,11 @@
         return mRequests;
     }
 
+    /** Returns the number of connections that were accepted so far. */
+    public int connectionCount() {
+        return mSockets.size();
+    }
+
     /** Returns an entry for each connection that the other side closed or reset. */
     public BlockingQueue<String> closedConnections() {
         return mClosedConnections;
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/PoisonRequestPathTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/PoisonRequestPathTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -37,6 +38,7 @@
     private final List<FakeServer> mUpstreams = new ArrayList<>();
     private final Set<String> mCrashed = ConcurrentHashMap.newKeySet();
     private final List<AutoCloseable> mCloseables = new ArrayList<>();
+    private final AtomicInteger mReset = new AtomicInteger();
     private int mCallerPort;
 
     @BeforeEach
@@ -96,6 +98,11 @@
         int start = request.indexOf("Id: ") + 4;
         String id = request.substring(start, request.indexOf('\r', start));
         FakeServer.write(socket, STREAM_START.formatted(id));
+        if (request.contains("reset")) {
+            mReset.incrementAndGet();
+            FakeServer.reset(socket);
+            return false;
+        }
         if (request.contains("bad")) {
             FakeServer.write(socket, PARTIAL_EVENT);
             mCrashed.add("u" + number);
@@ -121,6 +128,25 @@
         }
     }
 
+    /** Such as surplus connections, which a busy upstream resets. */
+    @Test
+    void doesNotSuspectRequestsWhoseConnectionsAreReset() throws Exception {
+        for (int i = 0; i < 6; i++) {
+            send("lost-" + i, "first,reset,own-" + i);
+            mClockLeadMillis.addAndGet(3_000);
+        }
+        assertThat(mReset.get()).isGreaterThanOrEqualTo(6);
+        // Each upstream accepts the connection that checks whether it crashed.
+        for (FakeServer upstream : mUpstreams) {
+            while (!upstream.requests().isEmpty()
+                    && upstream.connectionCount() <= upstream.requests().size()) {
+                assertThat(Thread.currentThread().isInterrupted()).isFalse();
+                Thread.onSpinWait();
+            }
+        }
+        assertThat(log()).doesNotContain("prompt.suspected");
+    }
+
     @Test
     void refusesARequestThatCrashesItsUpstreams() throws Exception {
         String response = "";
