Log the rate limits that upstreams name

Cause: the logs could not tell whether, when and at which instance the rate limit of an upstream was received. Change: the dialect reads the limit from each response; RateLimits keeps the newest statement of each upstream, and upstream.rate-limited, upstream.rate-unlimited and upstream.rate-limit-expired are logged with the request whose response is the evidence. A metric counts the limited upstreams. Placement does not use the limits yet.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/ResponseHead.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.magnoliapick.gateway;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The platform's fields in the head of an upstream's response.
@@ -8,5 +9,8 @@
  * @param id the identifier of the attempt that the response belongs to
  * @param notRun whether the upstream states that it did not run the request
  * @param signed whether the response carries the upstream's signature
+ * @param rateLimit the requests per second that the upstream takes from all instances together, if
+ *     it names a limit
  */
-public record ResponseHead(Optional<String> id, boolean notRun, boolean signed) {}
+public record ResponseHead(
+        Optional<String> id, boolean notRun, boolean signed, OptionalDouble rateLimit) {}
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -192,6 +192,8 @@
                 text,
                 "magnoliapick_prompt_parts_quarantined",
                 quarantine.quarantinedCount(mClockMillis.getAsLong()));
+        RelayCounters.appendMetric(
+                text, "magnoliapick_upstreams_rate_limited", mContext.rateLimits().limitedCount());
         return new ControlServer.Page(true, text.toString());
     }
 
@@ -217,6 +219,7 @@
                 () -> {
                     mPeers.tick(mClockMillis.getAsLong());
                     mRelays.quarantineTick(mClockMillis.getAsLong());
+                    mRelays.rateLimitTick(mClockMillis.getAsLong());
                     // The retry budget is divided among all live instances, this one included.
                     mContext.updateFleetSize(mPeers.liveCount() + 1);
                 });
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
@@ -6,6 +6,7 @@
 import org.magnoliapick.gateway.Dialect;
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.FailureDomain;
+import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.relay.FleetRetryBudget;
 import org.magnoliapick.route.TrafficConfig;
@@ -20,6 +21,7 @@
     private final EventLog mLog;
     private final RelayCounters mCounters = new RelayCounters();
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
+    private final RateLimits mRateLimits = new RateLimits();
     private Optional<TrafficConfig> mConfig = Optional.empty();
 
     /** Creates a context without a configuration. */
@@ -58,6 +60,11 @@
         return mQuarantine;
     }
 
+    /** Returns the rate limits of the upstreams. */
+    public RateLimits rateLimits() {
+        return mRateLimits;
+    }
+
     /** Returns the request counters. */
     public RelayCounters counters() {
         return mCounters;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -11,7 +11,9 @@
 import java.util.OptionalLong;
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.gateway.RequestHead;
+import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.limit.RateLimitChange;
 import org.magnoliapick.pool.PoolAction;
 import org.magnoliapick.pool.PoolJob;
 import org.magnoliapick.relay.CallerWaitEstimate;
@@ -166,6 +168,23 @@
         }
     }
 
+    /** Forgets old rate limits of upstreams and logs what changed in them. */
+    public void rateLimitTick(long nowMillis) {
+        mContext.rateLimits().tick(nowMillis);
+        for (RateLimitChange change : mContext.rateLimits().takeChanges()) {
+            EventLog.Line line =
+                    mContext.log()
+                            .line(change.logName())
+                            .with("upstream", change.limit().upstream())
+                            .with("startedMillis", change.limit().startedMillis());
+            change.limit().perSecond().ifPresent(each -> line.with("perSecond", each));
+            change.beforePerSecond().ifPresent(each -> line.with("beforePerSecond", each));
+            line.with("evidence", change.evidence())
+                    .with("ageMillis", nowMillis - change.limit().seenMillis())
+                    .log();
+        }
+    }
+
     QuarantineMonitor quarantineMonitor() {
         return mQuarantineMonitor;
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -17,6 +17,7 @@
 import org.magnoliapick.gateway.internal.http.HopByHopHeaders;
 import org.magnoliapick.gateway.internal.http.HttpConnection;
 import org.magnoliapick.gateway.internal.http.ResponseListener;
+import org.magnoliapick.limit.RateLimit;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.relay.RelayRequest;
 import org.magnoliapick.relay.RelayStep;
@@ -38,6 +39,7 @@
     private HttpConnection mConnection;
     private boolean mEnded;
     private boolean mSent;
+    private long mSentMillis;
     private HttpResponse mResponse;
     private ResponseHead mParsedHead;
     private ByteBuf mBuffered;
@@ -67,6 +69,7 @@
         mStallWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
         if (connection.send(forwardedHead(), mRelay.requestBody(), this)) {
             mSent = true;
+            mSentMillis = mContext.nowMillis();
             mRelay.attempts().sent(mUpstream.id());
         } else {
             onFailure(AttemptEnd.NOT_SENT);
@@ -142,6 +145,7 @@
         if (!matchesRequest && !parsedHead.notRun()) {
             return false;
         }
+        recordRateLimit(head, parsedHead);
         mResponse = head;
         mParsedHead = parsedHead;
         boolean success = isSuccess(head.status()) && parsedHead.signed();
@@ -155,6 +159,26 @@
         return true;
     }
 
+    /**
+     * Records the rate limit that a response names. One without a limit says that there is none
+     * only if the upstream itself ran the request; another server at its address misdirects it.
+     */
+    private void recordRateLimit(HttpResponse head, ResponseHead parsedHead) {
+        if (head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
+                || (parsedHead.rateLimit().isEmpty() && !parsedHead.signed())) {
+            return;
+        }
+        mContext.rateLimits()
+                .record(
+                        new RateLimit(
+                                mUpstream.id(),
+                                mUpstream.startedMillis(),
+                                parsedHead.rateLimit(),
+                                mContext.nowMillis()),
+                        mRequest.id(),
+                        mSentMillis);
+    }
+
     private static boolean isSuccess(HttpResponseStatus status) {
         return status.code() >= 200 && status.code() < 300;
     }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
@@ -67,7 +67,10 @@
         return new ResponseHead(
                 Optional.ofNullable(head.headers().get("Id")),
                 head.headers().contains("Not-Run"),
-                head.headers().contains("Signed"));
+                head.headers().contains("Signed"),
+                Stream.ofNullable(head.headers().get("Rate-Limit"))
+                        .mapToDouble(Double::parseDouble)
+                        .findFirst());
     }
 
     @Override
