--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
@@ -36,11 +36,8 @@
     private long mReceivedMillis = NEVER;
     private long mSentMillis = NEVER;
     private long mMembersSentMillis = NEVER;
-    private long mSuspectsSentMillis = NEVER;
-
-    /** The version of the instance's suspected prompt parts that was received last. */
-    private long mSuspectsVersion;
-
+    private final UpdateExchange mSuspects = new UpdateExchange();
+    private final UpdateExchange mRateLimits = new UpdateExchange();
     private long mFirstUnansweredMillis;
     private int mUnanswered;
     private long mSuspectUntilMillis = NEVER;
@@ -61,7 +58,8 @@
             return false;
         }
         if (mReport.filter(each -> each.startedMillis() != report.startedMillis()).isPresent()) {
-            mSuspectsVersion = 0;
+            mSuspects.received(0);
+            mRateLimits.received(0);
         }
         setMember(report.sender());
         mReport = Optional.of(report);
@@ -101,16 +99,14 @@
         mMembersSentMillis = nowMillis;
     }
 
-    void suspectsSent(long nowMillis) {
-        mSuspectsSentMillis = nowMillis;
-    }
-
-    void suspectsReceived(long version) {
-        mSuspectsVersion = version;
+    /** Returns the state of the exchange on suspected prompt parts. */
+    UpdateExchange suspects() {
+        return mSuspects;
     }
 
-    long suspectsVersion() {
-        return mSuspectsVersion;
+    /** Returns the state of the exchange on rate limits. */
+    UpdateExchange rateLimits() {
+        return mRateLimits;
     }
 
     /** Returns the version up to which the instance knows this one's suspected prompt parts. */
@@ -118,8 +114,9 @@
         return mReport.map(InstanceReport::suspectsVersion).orElse(0L);
     }
 
-    long sinceSuspectsSentMillis(long nowMillis) {
-        return nowMillis - mSuspectsSentMillis;
+    /** Returns the version up to which the instance knows this one's rate limits. */
+    long knownRateLimitsVersion() {
+        return mReport.map(InstanceReport::limitsVersion).orElse(0L);
     }
 
     /** Returns whether the instance does not reply, or did not until recently. */
--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
@@ -8,7 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.limit.RateLimitUpdate;
+import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.pool.FleetShare;
 import org.magnoliapick.pool.InstanceReport;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.quarantine.SuspectUpdate;
@@ -53,6 +58,9 @@
      */
     private static final int MAX_CANDIDATES = 4;
 
+    /** The number of candidates of another cell of which one is its dispatcher as a rule. */
+    private static final int CELL_CANDIDATES = 2;
+
     /** The time without a message after which a peer other than a seed is removed. */
     private static final long FORGET_AFTER_MILLIS = 60_000;
 
@@ -62,9 +70,6 @@
     /** The minimum time between two lists of members to one instance, in milliseconds. */
     private static final long MEMBERS_PERIOD_MILLIS = 500;
 
-    /** The minimum time between two updates on suspected prompt parts to one instance, in ms. */
-    private static final long SUSPECTS_PERIOD_MILLIS = 100;
-
     /** How long the chosen dispatcher is cached, in milliseconds. */
     private static final long DISPATCHER_CACHE_MILLIS = 10;
 
@@ -358,13 +363,26 @@
 
     /** Records the version of an instance's suspected prompt parts that was received. */
     public void suspectsReceived(String address, long version) {
-        Optional.ofNullable(mPeers.get(address)).ifPresent(peer -> peer.suspectsReceived(version));
+        Optional.ofNullable(mPeers.get(address))
+                .ifPresent(peer -> peer.suspects().received(version));
+    }
+
+    /** Records the version of an instance's rate limits that was received. */
+    public void rateLimitsReceived(String address, long version) {
+        Optional.ofNullable(mPeers.get(address))
+                .ifPresent(peer -> peer.rateLimits().received(version));
+    }
+
+    /** Returns the version of an instance's rate limits that was received last. */
+    public long receivedRateLimitsVersion(String address) {
+        Peer peer = mPeers.get(address);
+        return peer == null ? 0 : peer.rateLimits().receivedVersion();
     }
 
     /** Returns the version of an instance's suspected prompt parts that was received last. */
     public long receivedSuspectsVersion(String address) {
         Peer peer = mPeers.get(address);
-        return peer == null ? 0 : peer.suspectsVersion();
+        return peer == null ? 0 : peer.suspects().receivedVersion();
     }
 
     /**
@@ -373,13 +391,69 @@
      */
     public Optional<SuspectUpdate> suspectsToSend(
             String address, PromptQuarantine quarantine, long nowMillis) {
-        Peer peer = mPeers.get(address);
-        if (peer == null || peer.sinceSuspectsSentMillis(nowMillis) < SUSPECTS_PERIOD_MILLIS) {
-            return Optional.empty();
+        return updateToSend(
+                address,
+                Peer::suspects,
+                peer -> quarantine.updateFor(peer.knownSuspectsVersion()),
+                nowMillis);
+    }
+
+    /** Returns the update on rate limits for an instance in the same way. */
+    public Optional<RateLimitUpdate> rateLimitsToSend(
+            String address, RateLimits limits, long nowMillis) {
+        return updateToSend(
+                address,
+                Peer::rateLimits,
+                peer -> limits.updateFor(peer.knownRateLimitsVersion()),
+                nowMillis);
+    }
+
+    private <T> Optional<T> updateToSend(
+            String address,
+            Function<Peer, UpdateExchange> exchange,
+            Function<Peer, Optional<T>> update,
+            long nowMillis) {
+        Optional<Peer> peer =
+                Optional.ofNullable(mPeers.get(address))
+                        .filter(each -> exchange.apply(each).mayBeSent(nowMillis));
+        Optional<T> toSend = peer.flatMap(update);
+        if (toSend.isPresent()) {
+            peer.map(exchange).ifPresent(each -> each.sent(nowMillis));
+        }
+        return toSend;
+    }
+
+    /**
+     * Returns the part of the fleet for which this instance decides: if it is the dispatcher, the
+     * instances from which it recently received a message and the cells whose dispatchers it
+     * exchanges reports with, or else only itself. Lost instances count as known until they are
+     * forgotten, because they may be cut off.
+     */
+    public FleetShare share(long nowMillis) {
+        boolean isDispatcher = dispatcher(nowMillis).equals(mSelf.instance());
+        int known = 1;
+        int before = 0;
+        for (Map.Entry<String, Peer> each : mPeers.entrySet()) {
+            if (each.getValue().member().isPresent()) {
+                known++;
+                before += each.getKey().compareTo(mSelf.address()) < 0 ? 1 : 0;
+            }
+        }
+        double decided = isDispatcher ? connectedCount() : 1;
+        return new FleetShare(decided / known, isDispatcher, (double) before / known);
+    }
+
+    private long connectedCount() {
+        Set<String> direct =
+                mDirectlyReachable.stream().map(Member::address).collect(Collectors.toSet());
+        long connected =
+                mCells.dispatcherOrder(mSelf.domain()).stream().filter(direct::contains).count();
+        for (List<String> order : mCells.otherDispatcherOrders(mSelf.domain())) {
+            if (order.stream().limit(CELL_CANDIDATES).anyMatch(direct::contains)) {
+                connected += order.size();
+            }
         }
-        Optional<SuspectUpdate> update = quarantine.updateFor(peer.knownSuspectsVersion());
-        update.ifPresent(each -> peer.suspectsSent(nowMillis));
-        return update;
+        return connected;
     }
 
     /** Returns this instance as other instances know it. */
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/FleetShare.java
@@ -0,0 +1,15 @@
+package org.magnoliapick.pool;
+
+/**
+ * The part of the fleet for which this instance decides. Limits on what the fleet does together are
+ * divided accordingly while instances cannot reach each other or their dispatcher.
+ *
+ * @param fraction the fraction of all known instances for which it decides; instances that were
+ *     lost recently count as known, since they may be cut off and go on
+ * @param dispatcher whether it decides regularly, and not only while its dispatcher does not reply
+ * @param position the position of this instance among all known ones, from 0 to 1 (exclusive)
+ */
+public record FleetShare(double fraction, boolean dispatcher, double position) {
+    /** The share of an instance that knows no other one. */
+    public static final FleetShare WHOLE = new FleetShare(1, true, 0);
+}
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstancePacket.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstancePacket.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.limit.RateLimitUpdate;
 import org.magnoliapick.member.StoreUpdate;
 import org.magnoliapick.quarantine.SuspectUpdate;
 
@@ -17,6 +18,7 @@
  *     report's use includes
  * @param storeUpdate what the sender recently read from the store, if the receiver needs it
  * @param suspects the suspected prompt parts that changed at the sender, if the receiver lacks them
+ * @param rateLimits the rate limits that changed at the sender, if the receiver lacks them
  * @param messages messages about single requests
  */
 public record InstancePacket(
@@ -26,6 +28,7 @@
         Map<String, Long> acknowledgedGrants,
         Optional<StoreUpdate> storeUpdate,
         Optional<SuspectUpdate> suspects,
+        Optional<RateLimitUpdate> rateLimits,
         List<PoolMessage> messages) {
     /** Copies the collections. */
     public InstancePacket {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstanceReport.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstanceReport.java
@@ -17,6 +17,7 @@
  * @param listOffset the offset up to which the sender knows the list of upstreams
  * @param suspectsVersion the version up to which the sender knows the receiver's suspected prompt
  *     parts
+ * @param limitsVersion the version up to which the sender knows the receiver's rate limits
  * @param members the instances from which the sender receives messages itself; empty if the
  *     receiver knows them
  */
@@ -30,6 +31,7 @@
         long knownDigest,
         long listOffset,
         long suspectsVersion,
+        long limitsVersion,
         List<Member> members) {
     /** Copies the lists. */
     public InstanceReport {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolCause.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolCause.java
@@ -19,7 +19,9 @@
     /** The queue is full. */
     QUEUE_FULL(ErrorKind.INSTANCE_QUEUE_FULL),
     /** Upstreams crashed that began to answer requests with a part of the prompt. */
-    QUARANTINED(ErrorKind.QUARANTINED);
+    QUARANTINED(ErrorKind.QUARANTINED),
+    /** The rate limits of all upstreams leave no room in time. */
+    RATE_LIMITED(ErrorKind.WORKSPACE_QUEUE_FULL);
 
     private final ErrorKind mKind;
 
--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
@@ -0,0 +1,126 @@
+package org.magnoliapick.pool;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.relay.PromptPart;
+import org.magnoliapick.route.EngineSpec;
+
+/** The loads of a pool's upstreams, with their rate limits and the prompts that prefer them. */
+final class PoolLoads {
+    /** Fraction of its time that a fully loaded engine spends on prefill. */
+    private static final double PREFILL_TIME_FRACTION = 0.7;
+
+    private final Map<UpstreamId, UpstreamLoad> mLoads = new HashMap<>();
+    private final PreferredUpstreams mPreferred = new PreferredUpstreams();
+    private final RateLimits mRateLimits;
+
+    /** The change count of the rate limits that the loads have. */
+    private long mRateLimitChanges;
+
+    private FleetShare mShare = FleetShare.WHOLE;
+
+    PoolLoads(RateLimits rateLimits) {
+        mRateLimits = rateLimits;
+    }
+
+    /**
+     * Sets the upstreams that may get new requests.
+     *
+     * @param engine what the upstreams are like if they are model engines
+     */
+    void setUpstreams(List<ListedUpstream> upstreams, Optional<EngineSpec> engine, long nowMillis) {
+        Map<UpstreamId, ListedUpstream> byId = new HashMap<>();
+        upstreams.forEach(each -> byId.put(each.id(), each));
+        mLoads.keySet().retainAll(byId.keySet());
+        byId.forEach(
+                (id, upstream) ->
+                        mLoads.computeIfAbsent(id, each -> new UpstreamLoad(upstream, engine))
+                                .setUpstream(upstream));
+        applyRateLimits(nowMillis);
+    }
+
+    /** Sets the part of the fleet for which this instance decides. */
+    void setShare(FleetShare share, long nowMillis) {
+        if (!share.equals(mShare)) {
+            mShare = share;
+            applyRateLimits(nowMillis);
+        }
+    }
+
+    /** Applies the rate limits if any has changed. */
+    void refreshRateLimits(long nowMillis) {
+        if (mRateLimitChanges != mRateLimits.changeCount()) {
+            applyRateLimits(nowMillis);
+        }
+    }
+
+    /**
+     * Sets the current rate limits of the upstreams. Prompts prefer upstreams without one, so that
+     * these have the prompts cached that the others have no room for.
+     */
+    private void applyRateLimits(long nowMillis) {
+        mRateLimitChanges = mRateLimits.changeCount();
+        Set<UpstreamId> unlimited = new HashSet<>();
+        mLoads.forEach(
+                (id, load) -> {
+                    OptionalDouble limit = mRateLimits.find(id, load.upstream().startedMillis());
+                    load.setRateLimit(limit, mShare, nowMillis);
+                    if (limit.isEmpty()) {
+                        unlimited.add(id);
+                    }
+                });
+        mPreferred.setUpstreams(unlimited.isEmpty() ? Set.copyOf(mLoads.keySet()) : unlimited);
+    }
+
+    /** Returns the load of an upstream; empty if it is not listed. */
+    Optional<UpstreamLoad> find(UpstreamId upstream) {
+        return Optional.ofNullable(mLoads.get(upstream));
+    }
+
+    /** Returns the loads of all upstreams. */
+    Collection<UpstreamLoad> all() {
+        return Collections.unmodifiableCollection(mLoads.values());
+    }
+
+    /** Returns the upstream that a prompt with these parts prefers. */
+    Optional<UpstreamId> preferred(List<PromptPart> parts) {
+        return mPreferred.preferred(parts);
+    }
+
+    /** Returns whether there are upstreams and all of them are rate-limited. */
+    boolean isRateLimited() {
+        return !mLoads.isEmpty()
+                && mLoads.values().stream().allMatch(load -> load.requestsPerMilli().isPresent());
+    }
+
+    /**
+     * Returns what the upstreams can do together. A rate limit bounds the prefill of an engine to
+     * that of the requests which the limit lets pass.
+     *
+     * @param engines whether the upstreams are model engines
+     * @param meanTokens the mean number of prompt tokens of the requests
+     */
+    Throughput throughput(boolean engines, double meanTokens, long nowMillis) {
+        double tokensPerMilli = 0;
+        double requestsPerMilli = 0;
+        for (UpstreamLoad load : mLoads.values()) {
+            double limit = load.requestsPerMilli().orElse(Double.POSITIVE_INFINITY);
+            requestsPerMilli += limit;
+            if (engines) {
+                double prefill = load.tokensPerMilli(nowMillis) * PREFILL_TIME_FRACTION;
+                tokensPerMilli +=
+                        Double.isInfinite(limit) ? prefill : Math.min(prefill, limit * meanTokens);
+            }
+        }
+        return new Throughput(tokensPerMilli, requestsPerMilli);
+    }
+}
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLogFormat.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLogFormat.java
@@ -1,9 +1,9 @@
 package org.magnoliapick.pool;
 
+import java.util.Collection;
 import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Collectors;
-import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
 
 /** Formats the estimated state of a pool for log lines. */
@@ -17,17 +17,17 @@
      * Returns for each upstream the running requests, the tokens left to prefill and the prefill
      * speed in tokens per millisecond.
      */
-    static String load(Map<UpstreamId, UpstreamLoad> loads, long nowMillis) {
-        return loads.entrySet().stream()
+    static String load(Collection<UpstreamLoad> loads, long nowMillis) {
+        return loads.stream()
                 .map(
                         each ->
                                 String.format(
                                         Locale.ROOT,
                                         "%s:%d/%d/%d",
-                                        each.getKey(),
-                                        each.getValue().running(nowMillis),
-                                        each.getValue().prefillTokens(nowMillis),
-                                        Math.round(each.getValue().tokensPerMilli(nowMillis))))
+                                        each.upstream().id(),
+                                        each.running(nowMillis),
+                                        each.prefillTokens(nowMillis),
+                                        Math.round(each.tokensPerMilli(nowMillis))))
                 .collect(Collectors.joining(" "));
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.quarantine.Quarantine;
 import org.magnoliapick.relay.Prompt;
@@ -40,18 +41,15 @@
      */
     private static final int MAX_SKIPPED_JOBS = 40;
 
-    /** Fraction of its time that a fully loaded engine spends on prefill. */
-    private static final double PREFILL_TIME_FRACTION = 0.7;
-
     private final PoolSettings mSettings;
     private final ServedTokens mServed;
-    private final Map<UpstreamId, UpstreamLoad> mLoads = new HashMap<>();
+    private final PoolLoads mLoads;
     private final WaitingJobs mWaiting = new WaitingJobs();
     private final PeerQueues mPeerQueues = new PeerQueues();
-    private final PreferredUpstreams mPreferred = new PreferredUpstreams();
     private final Refusals mRefusals;
     private final PromptQuarantine mQuarantine;
     private long mQuarantineVersion;
+
     private ServiceSpec mService;
     private long mLastGrant;
 
@@ -59,11 +57,17 @@
      * Creates a scheduler without upstreams.
      *
      * @param quarantine the prompt parts with which requests are refused
+     * @param rateLimits the rate limits that upstreams named
      */
-    public PoolScheduler(ServiceSpec service, PoolSettings settings, PromptQuarantine quarantine) {
+    public PoolScheduler(
+            ServiceSpec service,
+            PoolSettings settings,
+            PromptQuarantine quarantine,
+            RateLimits rateLimits) {
         mService = service;
         mSettings = settings;
         mQuarantine = quarantine;
+        mLoads = new PoolLoads(rateLimits);
         mServed = new ServedTokens(settings.shareWindowMillis());
         mRefusals = new Refusals(settings, mWaiting, mServed, mPeerQueues);
     }
@@ -74,34 +78,24 @@
     }
 
     /** Sets the upstreams that may get new requests. */
-    public void setUpstreams(List<ListedUpstream> upstreams) {
-        Map<UpstreamId, ListedUpstream> byId = new HashMap<>();
-        upstreams.forEach(each -> byId.put(each.id(), each));
-        mLoads.keySet().retainAll(byId.keySet());
-        byId.values().forEach(this::setUpstream);
-        mPreferred.setUpstreams(byId.keySet());
-    }
-
-    private void setUpstream(ListedUpstream upstream) {
-        UpstreamLoad load = mLoads.get(upstream.id());
-        if (load == null) {
-            mLoads.put(upstream.id(), new UpstreamLoad(upstream, mService.engine()));
-        } else {
-            load.setUpstream(upstream);
-        }
+    public void setUpstreams(List<ListedUpstream> upstreams, long nowMillis) {
+        mLoads.setUpstreams(upstreams, mService.engine(), nowMillis);
+    }
+
+    /** Sets the part of the fleet for which this instance decides. */
+    public void setShare(FleetShare share, long nowMillis) {
+        mLoads.setShare(share, nowMillis);
     }
 
     /** Applies another instance's report of its use. */
     public void updatePeer(InstanceId instance, PoolUse use, long nowMillis) {
+        mLoads.refreshRateLimits(nowMillis);
         Map<UpstreamId, UpstreamUse> uses = new HashMap<>();
         use.uses().forEach(each -> uses.put(each.upstream(), each));
-        mLoads.forEach(
-                (id, load) ->
-                        load.updatePeer(
-                                instance,
-                                Optional.ofNullable(uses.get(id)),
-                                use.aggregate(),
-                                nowMillis));
+        for (UpstreamLoad load : mLoads.all()) {
+            Optional<UpstreamUse> ofLoad = Optional.ofNullable(uses.get(load.upstream().id()));
+            load.updatePeer(instance, ofLoad, use.aggregate(), nowMillis);
+        }
         mServed.updatePeer(instance, use.servedTokens(), nowMillis);
         mPeerQueues.updatePeer(instance, use, !use.aggregate(), nowMillis);
     }
@@ -131,7 +125,7 @@
             boolean aggregate,
             long nowMillis) {
         List<UpstreamUse> uses = new ArrayList<>();
-        for (UpstreamLoad load : mLoads.values()) {
+        for (UpstreamLoad load : mLoads.all()) {
             useOf.apply(load).ifPresent(uses::add);
         }
         return new PoolUse(
@@ -153,22 +147,19 @@
         if (quarantine.isPresent()) {
             return List.of(refuse(job, quarantine.get(), nowMillis));
         }
+        mLoads.refreshRateLimits(nowMillis);
         if (mWaiting.size() >= mSettings.maxWaiting()) {
             return List.of(
-                    mRefusals.refuse(
-                            job,
-                            PoolCause.QUEUE_FULL,
-                            prefillTokensPerMilli(nowMillis),
-                            nowMillis));
+                    mRefusals.refuse(job, PoolCause.QUEUE_FULL, throughput(nowMillis), nowMillis));
         }
         for (UpstreamId unreachable : job.unreachable()) {
-            UpstreamLoad load = mLoads.get(unreachable);
             // Failures of this instance's own attempts were recorded when the attempts ended.
-            if (load != null && job.requester().isPresent()) {
-                load.health().recordUnreachable(nowMillis);
+            if (job.requester().isPresent()) {
+                mLoads.find(unreachable)
+                        .ifPresent(load -> load.health().recordUnreachable(nowMillis));
             }
         }
-        long newTokens = hasEngines() ? fewestNewTokens(eligibleCandidates(job, nowMillis)) : 0;
+        long newTokens = hasEngines() ? fewestNewTokens(cacheCandidates(job, nowMillis)) : 0;
         mWaiting.add(job, newTokens, nowMillis);
         return tick(nowMillis);
     }
@@ -178,10 +169,11 @@
      * is not listed here.
      */
     public Optional<Ticket> startGranted(PoolJob job, PoolDecision.Start start, long nowMillis) {
-        UpstreamLoad load = mLoads.get(start.upstream());
-        if (load == null) {
-            return Optional.empty();
-        }
+        return mLoads.find(start.upstream()).map(load -> startGranted(load, job, start, nowMillis));
+    }
+
+    private static Ticket startGranted(
+            UpstreamLoad load, PoolJob job, PoolDecision.Start start, long nowMillis) {
         Ticket ticket =
                 new Ticket(
                         load.upstream(),
@@ -190,12 +182,12 @@
                         start.aheadTokens(),
                         nowMillis);
         load.addStarted(ticket, job.prompt().parts());
-        return Optional.of(ticket);
+        return ticket;
     }
 
     /** Records that an instance's reports include all its grants up to a number. */
     public void acknowledgeGrants(InstanceId requester, long grant) {
-        mLoads.values().forEach(load -> load.acknowledgeGrants(requester, grant));
+        mLoads.all().forEach(load -> load.acknowledgeGrants(requester, grant));
     }
 
     /**
@@ -203,7 +195,7 @@
      * speed in tokens per millisecond.
      */
     public String describeLoad(long nowMillis) {
-        return PoolLogFormat.load(mLoads, nowMillis);
+        return PoolLogFormat.load(mLoads.all(), nowMillis);
     }
 
     /**
@@ -289,22 +281,31 @@
         if (mWaiting.size() == 0) {
             return List.of();
         }
+        mLoads.refreshRateLimits(nowMillis);
         List<PoolAction> actions = new ArrayList<>(refuseQuarantined(nowMillis));
         while (startNext(actions, nowMillis)) {
             // Each start changes the order of the remaining requests.
         }
         actions.addAll(
                 mRefusals.refuseLate(
-                        mLoads.isEmpty() ? PoolCause.NO_UPSTREAM : PoolCause.TOO_LATE,
+                        lateCause(),
                         job -> firstEventMillis(job, nowMillis),
-                        prefillTokensPerMilli(nowMillis),
+                        throughput(nowMillis),
                         nowMillis));
         return actions;
     }
 
+    /** Returns why a request that waits too long could not be started. */
+    private PoolCause lateCause() {
+        if (mLoads.all().isEmpty()) {
+            return PoolCause.NO_UPSTREAM;
+        }
+        return mLoads.isRateLimited() ? PoolCause.RATE_LIMITED : PoolCause.TOO_LATE;
+    }
+
     private boolean startNext(List<PoolAction> actions, long nowMillis) {
         List<UpstreamLoad> withRoom =
-                mLoads.values().stream().filter(each -> hasRoom(each, nowMillis)).toList();
+                mLoads.all().stream().filter(each -> hasRoom(each, nowMillis)).toList();
         if (withRoom.isEmpty()) {
             return false;
         }
@@ -336,23 +337,14 @@
     /** Returns whether an upstream can take any further request now. */
     private boolean hasRoom(UpstreamLoad load, long nowMillis) {
         return load.health().isAvailable(nowMillis)
+                && load.hasToken(nowMillis)
                 && (mService.engine().isEmpty()
                         || PlacementPolicy.hasRoom(load, mService.engine().get(), nowMillis));
     }
 
-    /**
-     * Returns the prefill speed of all engines together in tokens per millisecond; 0 without
-     * engines.
-     */
-    private double prefillTokensPerMilli(long nowMillis) {
-        double tokensPerMilli = 0;
-        if (!hasEngines()) {
-            return tokensPerMilli;
-        }
-        for (UpstreamLoad load : mLoads.values()) {
-            tokensPerMilli += load.tokensPerMilli(nowMillis) * PREFILL_TIME_FRACTION;
-        }
-        return tokensPerMilli;
+    private Throughput throughput(long nowMillis) {
+        double meanTokens = (double) mWaiting.tokens() / Math.max(1, mWaiting.size());
+        return mLoads.throughput(hasEngines(), meanTokens, nowMillis);
     }
 
     /**
@@ -387,7 +379,7 @@
     private long fewestNewTokens(WaitingJob entry, long nowMillis) {
         if (!entry.hasRecentNewTokens(nowMillis)) {
             entry.setFewestNewTokens(
-                    fewestNewTokens(eligibleCandidates(entry.job(), nowMillis)), nowMillis);
+                    fewestNewTokens(cacheCandidates(entry.job(), nowMillis)), nowMillis);
         }
         return entry.fewestNewTokens();
     }
@@ -406,23 +398,29 @@
                 : PlacementPolicy.scorePlainService(candidate.job(), candidate.load(), nowMillis);
     }
 
-    /** Returns the upstreams that currently accept requests as candidates for a request. */
-    private List<Candidate> eligibleCandidates(PoolJob job, long nowMillis) {
+    /**
+     * Returns the upstreams for whose cached prompts a request may wait: those that accept requests
+     * and whose rate limit does not hold them back.
+     */
+    private List<Candidate> cacheCandidates(PoolJob job, long nowMillis) {
         return candidates(
                 job,
-                mLoads.values().stream().filter(each -> isEligible(job, each, nowMillis)).toList());
+                mLoads.all().stream()
+                        .filter(each -> isEligible(job, each, nowMillis))
+                        .filter(each -> each.hasToken(nowMillis))
+                        .toList());
     }
 
     private boolean isEligible(PoolJob job, UpstreamLoad load, long nowMillis) {
         boolean excluded =
                 job.excluded().contains(load.upstream().id())
-                        && job.excluded().size() < mLoads.size();
+                        && job.excluded().size() < mLoads.all().size();
         return !excluded && load.health().isAvailable(nowMillis);
     }
 
     private List<Candidate> candidates(PoolJob job, Collection<UpstreamLoad> loads) {
         Prompt prompt = job.prompt();
-        Optional<UpstreamId> preferred = mPreferred.preferred(prompt.parts());
+        Optional<UpstreamId> preferred = mLoads.preferred(prompt.parts());
         List<Candidate> candidates = new ArrayList<>(loads.size());
         for (UpstreamLoad load : loads) {
             boolean isPreferred = preferred.filter(load.upstream().id()::equals).isPresent();
@@ -434,6 +432,7 @@
     private PoolAction start(PoolJob job, ScoredCandidate choice, long nowMillis) {
         UpstreamLoad load = choice.load();
         load.health().recordStart(nowMillis);
+        load.takeToken(nowMillis);
         Optional<EngineSpec> engine = mService.engine();
         long memoryTokens =
                 engine.isPresent() ? PlacementPolicy.memoryTokens(job, choice.newTokens()) : 0;
@@ -456,14 +455,14 @@
     }
 
     private long firstEventMillis(PoolJob job, long nowMillis) {
-        return candidates(job, mLoads.values()).stream()
+        return candidates(job, mLoads.all()).stream()
                 .mapToLong(each -> each.load().firstEventMillis(each.newTokens(), nowMillis))
                 .min()
                 .orElse(Long.MAX_VALUE);
     }
 
     private Optional<UpstreamLoad> load(Ticket ticket) {
-        return Optional.ofNullable(mLoads.get(ticket.upstream().id()))
+        return mLoads.find(ticket.upstream().id())
                 .filter(load -> load.upstream().sameIncarnation(ticket.upstream()));
     }
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Refusals.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Refusals.java
@@ -45,13 +45,12 @@
      * @param cause the reason why they cannot be served
      * @param firstEventMillis estimates the time from now to a request's first event, in
      *     milliseconds
-     * @param prefillTokensPerMilli the prefill speed of all engines together in tokens per
-     *     millisecond
+     * @param throughput what all upstreams can do together
      */
     List<PoolAction> refuseLate(
             PoolCause cause,
             ToLongFunction<PoolJob> firstEventMillis,
-            double prefillTokensPerMilli,
+            Throughput throughput,
             long nowMillis) {
         boolean manyWait = mWaiting.size() > MAX_UNTHROTTLED_JOBS;
         if (manyWait && nowMillis - mCheckedMillis < CHECK_PERIOD_MILLIS) {
@@ -59,15 +58,17 @@
         }
         mCheckedMillis = nowMillis;
         long tokensBefore = 0;
+        int requestsBefore = 0;
         List<PoolAction> refusals = new ArrayList<>();
         Iterator<WaitingJob> order = mWaiting.order(mServed, nowMillis);
         while (order.hasNext()) {
             WaitingJob entry = order.next();
-            long waitMillis = waitMillis(tokensBefore, prefillTokensPerMilli, nowMillis);
+            long waitMillis = waitMillis(tokensBefore, requestsBefore, throughput, nowMillis);
             if (isLate(entry, waitMillis, firstEventMillis, nowMillis)) {
-                refusals.add(refuse(entry.job(), cause, prefillTokensPerMilli, nowMillis));
+                refusals.add(refuse(entry.job(), cause, throughput, nowMillis));
             } else {
                 tokensBefore += entry.job().prompt().promptTokens();
+                requestsBefore++;
             }
         }
         refusals.forEach(each -> mWaiting.remove(each.job()));
@@ -90,9 +91,8 @@
     }
 
     /** Returns the refusal of a request, with the time after which its caller should retry. */
-    PoolAction refuse(PoolJob job, PoolCause cause, double prefillTokensPerMilli, long nowMillis) {
-        return new PoolAction.Refuse(
-                job, retryAfterMillis(job, prefillTokensPerMilli, nowMillis), cause);
+    PoolAction refuse(PoolJob job, PoolCause cause, Throughput throughput, long nowMillis) {
+        return new PoolAction.Refuse(job, retryAfterMillis(job, throughput, nowMillis), cause);
     }
 
     /**
@@ -100,13 +100,13 @@
      *
      * @param tokensBefore prompt tokens of the requests before it at this instance; the queues of
      *     other instances are assumed to have proportionally as many before it
+     * @param requestsBefore the number of these requests
      */
-    private long waitMillis(long tokensBefore, double prefillTokensPerMilli, long nowMillis) {
+    private long waitMillis(
+            long tokensBefore, int requestsBefore, Throughput throughput, long nowMillis) {
         double ownTokens = Math.max(1, mWaiting.tokens());
         double fleetRatio = (ownTokens + mPeerQueues.waitingTokens(nowMillis)) / ownTokens;
-        return prefillTokensPerMilli == 0
-                ? 0
-                : (long) (tokensBefore * fleetRatio / prefillTokensPerMilli);
+        return (long) throughput.millisFor(tokensBefore * fleetRatio, requestsBefore * fleetRatio);
     }
 
     /**
@@ -116,12 +116,12 @@
      * the request's objective. The result is multiplied by a factor from 0.75 to 1.25 that depends
      * on the request, so that the callers do not all retry at once.
      */
-    private long retryAfterMillis(PoolJob job, double prefillTokensPerMilli, long nowMillis) {
+    private long retryAfterMillis(PoolJob job, Throughput throughput, long nowMillis) {
         double served = mServed.of(job.account(), nowMillis);
         double limit = Math.max(1, Math.min(served, mPeerQueues.servedLimitTokens(nowMillis)));
         double decayMillis =
                 served <= limit ? 0 : mSettings.shareWindowMillis() * Math.log(served / limit);
-        double queueMillis = waitMillis(mWaiting.tokens(), prefillTokensPerMilli, nowMillis);
+        double queueMillis = waitMillis(mWaiting.tokens(), mWaiting.size(), throughput, nowMillis);
         double minRetryMillis = job.objectiveMillis();
         double spread = 0.75 + 0.5 * ((job.id().hashCode() & 0xff) / 256.0);
         return (long) (spread * Math.max(minRetryMillis, Math.max(decayMillis, queueMillis)));
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.limit.BucketRate;
+import org.magnoliapick.limit.TokenBucket;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.route.EngineSpec;
@@ -69,6 +72,15 @@
     private boolean mSpeedMeasured;
     private Optional<Totals> mTotals = Optional.empty();
 
+    /** The tokens for further requests; absent unless the upstream is rate-limited. */
+    private Optional<TokenBucket> mBucket = Optional.empty();
+
+    /** Requests that this instance decided to send while the upstream was rate-limited. */
+    private long mOwnStarts;
+
+    /** The same of the instances for which this one decides, as reported since it heard of them. */
+    private long mReportedStarts;
+
     UpstreamLoad(ListedUpstream upstream, Optional<EngineSpec> engine) {
         mUpstream = upstream;
         mCache = engine.map(spec -> new PrefixCacheEstimate(spec.memoryTokens()));
@@ -89,6 +101,65 @@
         mUpstream = upstream;
     }
 
+    /**
+     * Sets the upstream's rate limit.
+     *
+     * @param perSecond the limit in requests per second; absent if there is none
+     * @param share the part of the fleet that this instance decides for
+     */
+    void setRateLimit(OptionalDouble perSecond, FleetShare share, long nowMillis) {
+        if (perSecond.isEmpty()) {
+            mBucket = Optional.empty();
+            mOwnStarts = 0;
+            mReportedStarts = 0;
+            return;
+        }
+        BucketRate rate =
+                new BucketRate(perSecond.getAsDouble(), share.fraction(), !share.dispatcher());
+        mBucket.ifPresentOrElse(
+                bucket -> bucket.setRate(rate, nowMillis),
+                () -> {
+                    double tokens = share.dispatcher() ? 0 : share.position();
+                    mBucket = Optional.of(new TokenBucket(rate, tokens, nowMillis));
+                });
+    }
+
+    /** Returns whether the upstream's rate limit allows another request now. */
+    boolean hasToken(long nowMillis) {
+        return mBucket.isEmpty() || mBucket.get().hasToken(nowMillis);
+    }
+
+    /** Records the decision to send a request there. */
+    void takeToken(long nowMillis) {
+        mBucket.ifPresent(
+                bucket -> {
+                    bucket.take(1, nowMillis);
+                    mOwnStarts++;
+                });
+    }
+
+    /** Returns the rate at which it may get requests per millisecond; absent if not limited. */
+    OptionalDouble requestsPerMilli() {
+        return mBucket.isEmpty()
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(mBucket.get().perMilli());
+    }
+
+    /** Returns the time until its rate limit allows another request, in milliseconds. */
+    private long tokenWaitMillis(long nowMillis) {
+        return mBucket.map(bucket -> bucket.waitMillis(nowMillis)).orElse(0L);
+    }
+
+    /** Charges the requests that another instance sent since its previous report. */
+    private void chargeStarts(
+            UpstreamUse previous, UpstreamUse use, boolean aggregate, long nowMillis) {
+        long starts = use.starts() - previous.starts();
+        if (starts > 0) {
+            mBucket.ifPresent(bucket -> bucket.take(starts, nowMillis));
+            mReportedStarts += aggregate ? 0 : starts;
+        }
+    }
+
     /**
      * Returns how many tokens of a prompt the upstream is expected to prefill.
      *
@@ -157,6 +228,9 @@
         if (use.isPresent()) {
             PeerUse previous = mPeers.get(instance);
             boolean stalled = previous != null && previous.isStalledAt(use.get());
+            if (previous != null) {
+                chargeStarts(previous.use(), use.get(), aggregate, nowMillis);
+            }
             mPeers.put(
                     instance, new PeerUse(use.get(), aggregate, aggregate && !stalled, nowMillis));
         } else {
@@ -246,7 +320,7 @@
     long firstEventMillis(long newTokens, long nowMillis) {
         double speed = tokensPerMilli(nowMillis);
         double prefillMillis = (prefillTokens(nowMillis) + newTokens) / speed;
-        return FIRST_EVENT_BASE_MILLIS + (long) prefillMillis;
+        return FIRST_EVENT_BASE_MILLIS + (long) prefillMillis + tokenWaitMillis(nowMillis);
     }
 
     /**
@@ -263,7 +337,7 @@
     }
 
     Optional<UpstreamUse> ownUse() {
-        return mRunning == 0
+        return mRunning == 0 && mOwnStarts == 0
                 ? Optional.empty()
                 : Optional.of(
                         new UpstreamUse(
@@ -271,7 +345,8 @@
                                 mRunning,
                                 mPrefillTokens,
                                 mMemoryTokens,
-                                mSpeedMeasured ? (int) Math.round(mTokensPerMilli) : 0));
+                                mSpeedMeasured ? (int) Math.round(mTokensPerMilli) : 0,
+                                mOwnStarts));
     }
 
     /** Returns the use of this instance and of all those that report each change to it. */
@@ -291,11 +366,17 @@
             }
         }
         int speed = (int) Math.round(tokensPerMilli(nowMillis));
-        return running == 0
+        long starts = mOwnStarts + mReportedStarts;
+        return running == 0 && starts == 0
                 ? Optional.empty()
                 : Optional.of(
                         new UpstreamUse(
-                                mUpstream.id(), running, prefillTokens, memoryTokens, speed));
+                                mUpstream.id(),
+                                running,
+                                prefillTokens,
+                                memoryTokens,
+                                speed,
+                                starts));
     }
 
     private record PendingGrant(InstanceId requester, long grant, Ticket ticket) {}
--- a/magnoliapick-core/src/test/java/org/magnoliapick/member/PeerTableTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/member/PeerTableTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.pool.FleetShare;
 import org.magnoliapick.pool.InstanceReport;
 
 /** Simulates a fleet of peer tables; delivers reports between instances that are connected. */
@@ -85,6 +86,7 @@
                         sender.receivedDigest(to),
                         0,
                         0,
+                        0,
                         pending.isReply() ? sender.membersToSend(to, mNowMillis) : List.of());
         boolean connected = mCutOff.contains(from) == mCutOff.contains(to);
         if (mTables.containsKey(to) && !mDown.contains(to) && connected) {
@@ -144,7 +146,7 @@
 
     private static InstanceReport report(int number, long started, long sequence) {
         return new InstanceReport(
-                member(number), started, sequence, false, false, List.of(), 0, 0, 0, List.of());
+                member(number), started, sequence, false, false, List.of(), 0, 0, 0, 0, List.of());
     }
 
     @Test
@@ -251,4 +253,48 @@
         run(3_000);
         assertThat(dispatchers()).hasSize(2);
     }
+
+    @Test
+    void dispatcherDecidesForAllOthersForThemselves() {
+        fleet(20);
+        run(1_000);
+        String dispatcher = dispatcherAddress();
+        mTables.forEach(
+                (address, table) -> {
+                    FleetShare share = table.share(mNowMillis);
+                    boolean isDispatcher = address.equals(dispatcher);
+                    assertThat(share.dispatcher()).isEqualTo(isDispatcher);
+                    assertThat(share.fraction()).isEqualTo(isDispatcher ? 1 : 1 / 20.0);
+                });
+        assertThat(mTables.values().stream().map(each -> each.share(mNowMillis).position()))
+                .doesNotHaveDuplicates();
+    }
+
+    /** Guards against two parts of a fleet that each use a limit of the whole fleet. */
+    @Test
+    void partsOfACutFleetDecideForTheirShares() {
+        fleet(20);
+        run(1_000);
+        for (int i = 0; i < 5; i++) {
+            mCutOff.add(address(i));
+        }
+        run(5_000);
+        double small = shareOfDispatcher(address(0));
+        double large = shareOfDispatcher(address(10));
+        assertThat(small).isEqualTo(5 / 20.0);
+        assertThat(large).isEqualTo(15 / 20.0);
+        mCutOff.clear();
+        run(5_000);
+        assertThat(shareOfDispatcher(address(0))).isEqualTo(1);
+    }
+
+    private double shareOfDispatcher(String address) {
+        InstanceId dispatcher = mTables.get(address).dispatcher(mNowMillis);
+        return mTables.values().stream()
+                .filter(each -> each.self().instance().equals(dispatcher))
+                .findFirst()
+                .orElseThrow()
+                .share(mNowMillis)
+                .fraction();
+    }
 }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
@@ -1,32 +1,25 @@
 package org.magnoliapick.pool;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.PriorityQueue;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
-import org.magnoliapick.lib.WorkspaceId;
-import org.magnoliapick.quarantine.PromptQuarantine;
+import org.magnoliapick.limit.RateLimit;
 import org.magnoliapick.quarantine.Quarantine;
-import org.magnoliapick.quarantine.SuspectUpdate;
 import org.magnoliapick.relay.FleetRetryBudget;
-import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.relay.RelayAttempts;
 import org.magnoliapick.relay.RelayRequest;
 import org.magnoliapick.relay.RelayStep;
-import org.magnoliapick.relay.Requests;
 import org.magnoliapick.request.AttemptEnd;
-import org.magnoliapick.route.RouteKind;
 
 /**
  * A fleet in virtual time: instances that share engines, which crash when they begin to answer a
@@ -43,20 +36,24 @@
     private static final long CONFIRM_MILLIS = 100;
     private static final long EXCHANGE_MILLIS = 100;
 
-    private final PriorityQueue<Event> mEvents =
-            new PriorityQueue<>(
-                    Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::sequence));
+    private final VirtualTime mTime = new VirtualTime();
     private final List<Instance> mInstances = new ArrayList<>();
-    private final Map<UpstreamId, Engine> mEngines = new LinkedHashMap<>();
+    private final Map<UpstreamId, FakeEngine> mEngines = new LinkedHashMap<>();
     private final Set<String> mPoison = new HashSet<>();
     private final Set<Instance> mCut = new HashSet<>();
     private final Random mRandom;
-    private long mNowMillis;
-    private long mLastSequence;
     private long mLastNumber;
     private final Map<String, List<Long>> mCrashMillis = new HashMap<>();
 
+    /** The number of instances that share a dispatcher. */
+    private final int mCellSize;
+
     FakeFleet(int instances, int engines, long seed) {
+        this(instances, instances, engines, seed);
+    }
+
+    FakeFleet(int instances, int cellSize, int engines, long seed) {
+        mCellSize = cellSize;
         mRandom = new Random(seed);
         for (int i = 0; i < instances; i++) {
             mInstances.add(new Instance(i));
@@ -75,7 +72,11 @@
     }
 
     long nowMillis() {
-        return mNowMillis;
+        return mTime.nowMillis();
+    }
+
+    int instanceCount() {
+        return mInstances.size();
     }
 
     Random random() {
@@ -89,17 +90,12 @@
 
     /** Runs an action at a time. */
     void at(long millis, Runnable action) {
-        mEvents.add(new Event(millis, ++mLastSequence, action));
+        mTime.at(millis, action);
     }
 
     /** Runs all events up to a time. */
     void runUntil(long millis) {
-        while (!mEvents.isEmpty() && mEvents.peek().atMillis() <= millis) {
-            Event event = mEvents.remove();
-            mNowMillis = event.atMillis();
-            event.action().run();
-        }
-        mNowMillis = millis;
+        mTime.runUntil(millis);
     }
 
     /** Sends a request whose prompt has these parts and one of its own to an instance. */
@@ -126,9 +122,24 @@
         mInstances.get(instance).exchange();
     }
 
+    /** Returns what an instance knows of the rate limit of an engine. */
+    OptionalDouble knownRateLimit(int instance, int engine) {
+        ListedUpstream upstream = engine(engine).upstream();
+        return mInstances
+                .get(instance)
+                .mKnowledge
+                .rateLimits()
+                .find(upstream.id(), upstream.startedMillis());
+    }
+
+    /** Returns one of the engines, by the order in which they were added. */
+    FakeEngine engine(int number) {
+        return List.copyOf(mEngines.values()).get(number);
+    }
+
     /** Returns the number of parts that an instance has in quarantine. */
     long quarantinedCount(int instance) {
-        return mInstances.get(instance).mQuarantine.quarantinedCount(mNowMillis);
+        return mInstances.get(instance).mKnowledge.quarantine().quarantinedCount(mTime.nowMillis());
     }
 
     /** Lets requests with a part pass again without harm. */
@@ -138,40 +149,39 @@
 
     /** Crashes an engine for a reason that has nothing to do with its requests. */
     void crashAnyEngine() {
-        List<Engine> running = mEngines.values().stream().filter(each -> each.mRunning).toList();
+        List<FakeEngine> running =
+                mEngines.values().stream().filter(each -> each.isRunning()).toList();
         if (!running.isEmpty()) {
             crash(running.get(mRandom.nextInt(running.size())));
         }
     }
 
-    private void after(long millis, Runnable action) {
-        at(mNowMillis + millis, action);
-    }
-
-    private Engine addEngine() {
-        Engine engine = new Engine(Jobs.upstream("engine-" + ++mLastNumber));
-        mEngines.put(engine.mUpstream.id(), engine);
+    private FakeEngine addEngine() {
+        FakeEngine engine = new FakeEngine(Jobs.upstream("engine-" + ++mLastNumber));
+        mEngines.put(engine.upstream().id(), engine);
         return engine;
     }
 
     private void listEngines() {
         List<ListedUpstream> listed =
-                mEngines.values().stream().map(each -> each.mUpstream).toList();
-        mInstances.forEach(each -> each.mPool.scheduler().setUpstreams(listed));
+                mEngines.values().stream().map(each -> each.upstream()).toList();
+        mInstances.forEach(each -> each.mPool.scheduler().setUpstreams(listed, mTime.nowMillis()));
     }
 
-    private void crash(Engine engine) {
-        engine.mRunning = false;
-        List<Request> lost = List.copyOf(engine.mRequests);
-        engine.mRequests.clear();
-        after(MESSAGE_MILLIS, () -> lost.forEach(each -> each.ended(Optional.of(AttemptEnd.CUT))));
-        after(
+    private void crash(FakeEngine engine) {
+        engine.stop();
+        List<Request> lost = List.copyOf(engine.requests());
+        engine.requests().clear();
+        mTime.after(
+                MESSAGE_MILLIS,
+                () -> lost.forEach(each -> each.ended(Optional.of(AttemptEnd.CUT))));
+        mTime.after(
                 DELIST_MILLIS,
                 () -> {
-                    mEngines.remove(engine.mUpstream.id());
+                    mEngines.remove(engine.upstream().id());
                     listEngines();
                 });
-        after(
+        mTime.after(
                 REPLACE_MILLIS,
                 () -> {
                     addEngine();
@@ -179,64 +189,85 @@
                 });
     }
 
-    private record Event(long atMillis, long sequence, Runnable action) {}
-
-    private static final class Engine {
-        private final ListedUpstream mUpstream;
-        private final List<Request> mRequests = new ArrayList<>();
-        private boolean mRunning = true;
-
-        private Engine(ListedUpstream upstream) {
-            mUpstream = upstream;
-        }
-    }
-
     /** One instance with its part of the pool. */
     private final class Instance {
+        private final int mNumber;
         private final InstanceId mId;
-        private final PromptQuarantine mQuarantine = new PromptQuarantine();
-        private final Map<Instance, Long> mReceivedVersions = new HashMap<>();
+        private final FakeKnowledge mKnowledge = new FakeKnowledge();
         private final ServicePool mPool =
                 new ServicePool(
                         "s",
-                        new PoolScheduler(Jobs.ENGINES, new PoolSettings(4_000, 100), mQuarantine));
+                        new PoolScheduler(
+                                Jobs.ENGINES,
+                                new PoolSettings(4_000, 100),
+                                mKnowledge.quarantine(),
+                                mKnowledge.rateLimits()));
         private final FleetRetryBudget mBudget = new FleetRetryBudget(0.2, 50, 10_000, 1);
         private final Map<Long, Request> mWaiting = new LinkedHashMap<>();
 
         private Instance(int number) {
+            mNumber = number;
             mId = new InstanceId("instance-" + number);
         }
 
+        private Instance cellDispatcher() {
+            return mInstances.get(mNumber - mNumber % mCellSize);
+        }
+
         private Optional<InstanceId> dispatcher() {
-            InstanceId dispatcher = mInstances.get(0).mId;
+            InstanceId dispatcher = cellDispatcher().mId;
             return dispatcher.equals(mId) || mCut.contains(this)
                     ? Optional.empty()
                     : Optional.of(dispatcher);
         }
 
+        private FleetShare share() {
+            double known = mInstances.size();
+            boolean decides = dispatcher().isEmpty();
+            double decided = decides && !mCut.contains(this) ? known - mCut.size() : 1;
+            return new FleetShare(decided / known, decides, mNumber / known);
+        }
+
         private void tick() {
-            execute(mPool.tick(dispatcher(), mNowMillis));
-            after(TICK_MILLIS, this::tick);
+            mPool.scheduler().setShare(share(), mTime.nowMillis());
+            execute(mPool.tick(dispatcher(), mTime.nowMillis()));
+            mTime.after(TICK_MILLIS, this::tick);
         }
 
         /** Exchanges what is known of poison parts with the dispatcher. */
         private void exchange() {
-            mQuarantine.tick(mNowMillis);
-            Instance dispatcher = mInstances.get(0);
-            if (dispatcher != this && !mCut.contains(this)) {
-                sendSuspects(dispatcher);
-                dispatcher.sendSuspects(this);
+            mKnowledge.quarantine().tick(mTime.nowMillis());
+            mKnowledge.rateLimits().tick(mTime.nowMillis());
+            Instance dispatcher = cellDispatcher();
+            if (dispatcher != this) {
+                report(dispatcher);
+                dispatcher.report(this);
+            } else {
+                mInstances.stream()
+                        .filter(each -> each != this && each.cellDispatcher() == each)
+                        .forEach(this::report);
             }
-            after(EXCHANGE_MILLIS, this::exchange);
+            mTime.after(EXCHANGE_MILLIS, this::exchange);
         }
 
-        private void sendSuspects(Instance to) {
-            long known = to.mReceivedVersions.getOrDefault(this, 0L);
-            Optional<SuspectUpdate> update = mQuarantine.updateFor(known);
+        /** Reports to an instance what this one knows and, to a dispatcher, its use. */
+        private void report(Instance to) {
+            if (mCut.contains(this) || mCut.contains(to)) {
+                return;
+            }
             // One datagram in ten is lost.
-            if (update.isPresent() && mRandom.nextInt(10) > 0) {
-                to.mQuarantine.applyUpdate(update.get());
-                to.mReceivedVersions.put(this, update.get().version());
+            if (mRandom.nextInt(10) == 0) {
+                return;
+            }
+            mKnowledge.sendTo(to.mKnowledge, mId.value());
+            if (to.cellDispatcher() == to) {
+                PoolUse use =
+                        cellDispatcher() == this
+                                ? mPool.scheduler().aggregateUse(mTime.nowMillis())
+                                : mPool.scheduler().ownUse(mTime.nowMillis());
+                to.mPool.scheduler().updatePeer(mId, use, mTime.nowMillis());
+                mPool.highestGrant(to.mId)
+                        .ifPresent(grant -> to.mPool.scheduler().acknowledgeGrants(mId, grant));
             }
         }
 
@@ -250,28 +281,27 @@
                 }
             }
             for (PoolMessage message : mPool.takeOutbox()) {
-                after(MESSAGE_MILLIS, () -> deliver(message));
+                mTime.after(MESSAGE_MILLIS, () -> deliver(message));
             }
         }
 
         private void deliver(PoolMessage message) {
-            if (mCut.contains(this)) {
-                return;
-            }
             Instance to =
                     mInstances.stream()
                             .filter(each -> each.mId.equals(message.to()))
                             .findFirst()
                             .orElseThrow();
-            to.receive(mId, message);
+            if (!mCut.contains(this) && !mCut.contains(to)) {
+                to.receive(mId, message);
+            }
         }
 
         private void receive(InstanceId from, PoolMessage message) {
             if (message instanceof PoolMessage.Query query) {
                 PoolJob job = Jobs.fromInstance(query.job(), from.value());
-                execute(mPool.receiveQuery(from, job, mNowMillis));
+                execute(mPool.receiveQuery(from, job, mTime.nowMillis()));
             } else if (message instanceof PoolMessage.Reply reply) {
-                execute(mPool.receiveDecision(from, reply.decision(), mNowMillis));
+                execute(mPool.receiveDecision(from, reply.decision(), mTime.nowMillis()));
             }
         }
     }
@@ -290,21 +320,7 @@
 
         private Request(Instance instance, long number, List<String> parts) {
             mInstance = instance;
-            List<PromptPart> prompt = new ArrayList<>();
-            parts.forEach(each -> prompt.add(new PromptPart(each, 100)));
-            prompt.add(new PromptPart("own-" + number, 100));
-            mRequest =
-                    new RelayRequest(
-                            "request-" + number,
-                            Requests.route(RouteKind.STREAM, true),
-                            "s",
-                            Optional.of(new WorkspaceId("w")),
-                            new Prompt(100 * prompt.size(), 100, prompt),
-                            OptionalLong.empty(),
-                            mNowMillis,
-                            mNowMillis,
-                            mNowMillis + 10_000,
-                            1);
+            mRequest = Jobs.request(number, parts, mTime.nowMillis());
             mAttempts = new RelayAttempts(mRequest);
         }
 
@@ -335,7 +351,10 @@
 
         private boolean isQuarantined() {
             Optional<Quarantine> quarantine =
-                    mInstance.mQuarantine.find("s", mRequest.prompt(), mNowMillis);
+                    mInstance
+                            .mKnowledge
+                            .quarantine()
+                            .find("s", mRequest.prompt(), mTime.nowMillis());
             quarantine.ifPresent(each -> mRefusal = Optional.of(PoolCause.QUARANTINED));
             return quarantine.isPresent();
         }
@@ -353,9 +372,10 @@
                             mAttempts.isHeadRelayed(),
                             1,
                             ++mLastNumber,
-                            mNowMillis);
+                            mTime.nowMillis());
             mInstance.mWaiting.put(mJob.queryId(), this);
-            mInstance.execute(mInstance.mPool.submit(mJob, mInstance.dispatcher(), mNowMillis));
+            mInstance.execute(
+                    mInstance.mPool.submit(mJob, mInstance.dispatcher(), mTime.nowMillis()));
         }
 
         private void start(Ticket ticket) {
@@ -370,22 +390,22 @@
                                         .endAttempt(
                                                 ticket,
                                                 Optional.of(AttemptEnd.CANCELLED),
-                                                mNowMillis)));
+                                                mTime.nowMillis())));
                 return;
             }
-            Engine engine = mEngines.get(ticket.upstream().id());
-            if (engine == null || !engine.mRunning) {
-                after(MESSAGE_MILLIS, () -> ended(Optional.of(AttemptEnd.NOT_SENT)));
+            FakeEngine engine = mEngines.get(ticket.upstream().id());
+            if (engine == null || !engine.isRunning()) {
+                mTime.after(MESSAGE_MILLIS, () -> ended(Optional.of(AttemptEnd.NOT_SENT)));
                 return;
             }
-            mSentMillis.add(mNowMillis);
+            mSentMillis.add(mTime.nowMillis());
             mAttempts.sent(ticket.upstream().id());
-            engine.mRequests.add(this);
-            after(PREFILL_MILLIS, () -> beginAnswer(engine));
+            engine.arrive(this, mTime.nowMillis());
+            mTime.after(PREFILL_MILLIS, () -> beginAnswer(engine));
         }
 
-        private void beginAnswer(Engine engine) {
-            if (!engine.mRequests.contains(this)) {
+        private void beginAnswer(FakeEngine engine) {
+            if (!engine.requests().contains(this)) {
                 return;
             }
             Optional<String> poison =
@@ -396,19 +416,33 @@
             if (poison.isPresent()) {
                 mCrashMillis
                         .computeIfAbsent(poison.get(), part -> new ArrayList<>())
-                        .add(mNowMillis);
+                        .add(mTime.nowMillis());
                 crash(engine);
                 return;
             }
             mEventReceived = true;
-            mInstance.mQuarantine.recordAnswer("s", mRequest.prompt(), mNowMillis);
+            mInstance
+                    .mKnowledge
+                    .rateLimits()
+                    .record(
+                            new RateLimit(
+                                    engine.upstream().id(),
+                                    engine.upstream().startedMillis(),
+                                    engine.rateLimit(),
+                                    mTime.nowMillis()),
+                            mRequest.id(),
+                            mSentMillis.get(mSentMillis.size() - 1));
+            mInstance
+                    .mKnowledge
+                    .quarantine()
+                    .recordAnswer("s", mRequest.prompt(), mTime.nowMillis());
             mAttempts.headRelayed();
-            mInstance.mPool.scheduler().recordEvent(mTicket, mNowMillis);
-            after(ANSWER_MILLIS, () -> completeAnswer(engine));
+            mInstance.mPool.scheduler().recordEvent(mTicket, mTime.nowMillis());
+            mTime.after(ANSWER_MILLIS, () -> completeAnswer(engine));
         }
 
-        private void completeAnswer(Engine engine) {
-            if (engine.mRequests.remove(this)) {
+        private void completeAnswer(FakeEngine engine) {
+            if (engine.requests().remove(this)) {
                 mAnswered = true;
                 ended(Optional.empty());
             }
@@ -419,16 +453,20 @@
             mTicket = null;
             mInstance.execute(
                     mInstance.mPool.localActions(
-                            mInstance.mPool.scheduler().endAttempt(ticket, end, mNowMillis)));
+                            mInstance
+                                    .mPool
+                                    .scheduler()
+                                    .endAttempt(ticket, end, mTime.nowMillis())));
             if (end.isPresent()) {
                 boolean crashed = end.get() == AttemptEnd.CUT && !mEventReceived;
                 if (crashed) {
-                    recordCrash(ticket.upstream(), mNowMillis);
+                    recordCrash(ticket.upstream(), mTime.nowMillis());
                 }
                 RelayStep step =
                         crashed && !mayRetry()
                                 ? mAttempts.lastStep(end.get())
-                                : mAttempts.nextStep(end.get(), mInstance.mBudget, mNowMillis);
+                                : mAttempts.nextStep(
+                                        end.get(), mInstance.mBudget, mTime.nowMillis());
                 if (step instanceof RelayStep.Retry || step instanceof RelayStep.Resume) {
                     submit();
                 }
@@ -436,20 +474,26 @@
         }
 
         private boolean mayRetry() {
-            return mInstance.mQuarantine.mayRetry("s", mRequest.prompt(), mRequest.id());
+            return mInstance
+                    .mKnowledge
+                    .quarantine()
+                    .mayRetry("s", mRequest.prompt(), mRequest.id());
         }
 
         private void recordCrash(ListedUpstream upstream, long crashedMillis) {
-            after(
+            mTime.after(
                     CONFIRM_MILLIS,
                     () ->
-                            mInstance.mQuarantine.recordCrash(
-                                    "s",
-                                    mRequest.prompt(),
-                                    mRequest.id(),
-                                    upstream.id(),
-                                    upstream.startedMillis(),
-                                    crashedMillis));
+                            mInstance
+                                    .mKnowledge
+                                    .quarantine()
+                                    .recordCrash(
+                                            "s",
+                                            mRequest.prompt(),
+                                            mRequest.id(),
+                                            upstream.id(),
+                                            upstream.startedMillis(),
+                                            crashedMillis));
         }
     }
 }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
@@ -1,16 +1,22 @@
 package org.magnoliapick.pool;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
+import org.magnoliapick.relay.RelayRequest;
+import org.magnoliapick.relay.Requests;
 import org.magnoliapick.route.EngineSpec;
+import org.magnoliapick.route.RouteKind;
 import org.magnoliapick.route.ServiceSpec;
 
 /** Requests and engines for tests. */
@@ -26,9 +32,14 @@
     }
 
     static PoolScheduler scheduler(String... upstreams) {
+        return scheduler(new RateLimits(), upstreams);
+    }
+
+    static PoolScheduler scheduler(RateLimits limits, String... upstreams) {
         PoolScheduler scheduler =
-                new PoolScheduler(ENGINES, new PoolSettings(4_000, 100), new PromptQuarantine());
-        scheduler.setUpstreams(List.of(upstreams).stream().map(Jobs::upstream).toList());
+                new PoolScheduler(
+                        ENGINES, new PoolSettings(4_000, 100), new PromptQuarantine(), limits);
+        scheduler.setUpstreams(List.of(upstreams).stream().map(Jobs::upstream).toList(), 0);
         return scheduler;
     }
 
@@ -72,6 +83,24 @@
                 queryId);
     }
 
+    /** Returns a resumable request whose prompt has these parts and one of its own. */
+    static RelayRequest request(long number, List<String> parts, long nowMillis) {
+        List<PromptPart> prompt = new ArrayList<>();
+        parts.forEach(each -> prompt.add(new PromptPart(each, 100)));
+        prompt.add(new PromptPart("own-" + number, 100));
+        return new RelayRequest(
+                "request-" + number,
+                Requests.route(RouteKind.STREAM, true),
+                "s",
+                Optional.of(new WorkspaceId("w")),
+                new Prompt(100 * prompt.size(), 100, prompt),
+                OptionalLong.empty(),
+                nowMillis,
+                nowMillis,
+                nowMillis + 10_000,
+                1);
+    }
+
     /** Returns the same request as a retry of a caller that was refused before. */
     static PoolJob callerRetry(PoolJob job) {
         return copy(job, true, job.requester());
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolSchedulerTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolSchedulerTest.java
@@ -99,7 +99,7 @@
     @Test
     void countsRunningRequestsOfOtherInstances() {
         PoolScheduler pool = Jobs.scheduler("u");
-        UpstreamUse use = new UpstreamUse(new UpstreamId("u"), 10, 0, 0, 0);
+        UpstreamUse use = new UpstreamUse(new UpstreamId("u"), 10, 0, 0, 0, 0);
         pool.updatePeer(
                 new InstanceId("other"),
                 new PoolUse("s", List.of(use), Map.of(), 0, OptionalLong.empty(), false),
@@ -182,7 +182,7 @@
     }
 
     private static PoolUse useOfOthers(long prefillTokens, boolean aggregate) {
-        UpstreamUse use = new UpstreamUse(new UpstreamId("u"), 1, prefillTokens, 0, 60);
+        UpstreamUse use = new UpstreamUse(new UpstreamId("u"), 1, prefillTokens, 0, 60, 0);
         return new PoolUse("s", List.of(use), Map.of(), 1_000, OptionalLong.of(0), aggregate);
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -92,6 +92,7 @@
                         new PoolSettings(settings.shareWindowMillis(), MAX_WAITING_REQUESTS),
                         mDirectory,
                         mContext.quarantine(),
+                        mContext.rateLimits(),
                         mRelays::execute);
         mRelays.setPools(mPools);
         mCallers = new CallerServer(mGroup, mRelays, log, clockMillis);
@@ -106,6 +107,7 @@
                         clockMillis,
                         mStoreRelay,
                         mContext.quarantine(),
+                        mContext.rateLimits(),
                         this::storeUpdateReceived);
         mPools.setDispatcher(
                 mPeers::remoteDispatcher, mPeers::scheduleFlush, this::schedulePoolTick);
@@ -218,6 +220,7 @@
                 "peers",
                 () -> {
                     mPeers.tick(mClockMillis.getAsLong());
+                    mPools.setShare(mPeers.share(), mClockMillis.getAsLong());
                     mRelays.quarantineTick(mClockMillis.getAsLong());
                     mRelays.rateLimitTick(mClockMillis.getAsLong());
                     // The retry budget is divided among all live instances, this one included.
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -25,11 +25,13 @@
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.gateway.internal.relay.Pools;
 import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.PeerTable;
 import org.magnoliapick.member.PendingReport;
 import org.magnoliapick.member.StoreRelay;
 import org.magnoliapick.member.StoreUpdate;
+import org.magnoliapick.pool.FleetShare;
 import org.magnoliapick.pool.InstancePacket;
 import org.magnoliapick.pool.InstanceReport;
 import org.magnoliapick.pool.PoolMessage;
@@ -67,6 +69,7 @@
     private final PeerTable mTable;
     private final StoreRelay mStoreRelay;
     private final PromptQuarantine mQuarantine;
+    private final RateLimits mRateLimits;
     private final Consumer<StoreUpdate> mStoreUpdateSink;
     private final long mStartedMillis;
     private InstanceId mDispatcher;
@@ -84,6 +87,7 @@
      *
      * @param storeRelay supplies the store updates that are sent to other instances
      * @param quarantine what is known of poison parts, which the instances exchange
+     * @param rateLimits the rate limits of upstreams, which the instances exchange
      * @param storeUpdateSink receives the store updates of other instances
      */
     public PeerSocket(
@@ -94,6 +98,7 @@
             LongSupplier clockMillis,
             StoreRelay storeRelay,
             PromptQuarantine quarantine,
+            RateLimits rateLimits,
             Consumer<StoreUpdate> storeUpdateSink) {
         mGroup = group;
         mSettings = settings;
@@ -102,6 +107,7 @@
         mClockMillis = clockMillis;
         mStoreRelay = storeRelay;
         mQuarantine = quarantine;
+        mRateLimits = rateLimits;
         mStoreUpdateSink = storeUpdateSink;
         mStartedMillis = clockMillis.getAsLong();
         // All instances listen on the same peer port; a seed's address names another of its ports.
@@ -269,6 +275,11 @@
         }
     }
 
+    /** Returns the part of the fleet for which this instance decides. */
+    public FleetShare share() {
+        return mTable.share(mClockMillis.getAsLong());
+    }
+
     /** Returns the number of other live instances as of the last tick. */
     public int liveCount() {
         return mLiveCount;
@@ -312,6 +323,8 @@
                                                         mTable.listOffset(address), nowMillis)),
                         target.flatMap(
                                 each -> mTable.suspectsToSend(address, mQuarantine, nowMillis)),
+                        target.flatMap(
+                                each -> mTable.rateLimitsToSend(address, mRateLimits, nowMillis)),
                         messages);
         mChannel.write(
                 new DatagramPacket(
@@ -343,6 +356,7 @@
                 mTable.receivedDigest(target.address()),
                 mStoreRelay.listOffset(),
                 mTable.receivedSuspectsVersion(target.address()),
+                mTable.receivedRateLimitsVersion(target.address()),
                 target.isReply() ? mTable.membersToSend(target.address(), nowMillis) : List.of());
     }
 
@@ -375,6 +389,12 @@
                             mQuarantine.applyUpdate(update);
                             mTable.suspectsReceived(packet.address(), update.version());
                         });
+        packet.rateLimits()
+                .ifPresent(
+                        update -> {
+                            mRateLimits.applyUpdate(update, packet.from().value());
+                            mTable.rateLimitsReceived(packet.address(), update.version());
+                        });
         mPools.receive(packet, reportIsNew, nowMillis);
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -14,6 +14,8 @@
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.pool.FleetShare;
 import org.magnoliapick.pool.InstancePacket;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.pool.PoolAction;
@@ -41,6 +43,7 @@
     private final Map<UpstreamId, UpstreamConnections> mConnections = new HashMap<>();
     private final UpstreamDirectory mDirectory;
     private final PromptQuarantine mQuarantine;
+    private final RateLimits mRateLimits;
     private final Consumer<PoolAction> mSink;
     private Supplier<Optional<InstanceId>> mRemoteDispatcher = Optional::empty;
     private Runnable mScheduleFlush = () -> {};
@@ -50,11 +53,13 @@
     private boolean mDirty;
 
     private Optional<TrafficConfig> mConfig = Optional.empty();
+    private FleetShare mShare = FleetShare.WHOLE;
 
     /**
      * Creates an empty set; pools are added when a service is first used.
      *
      * @param quarantine the prompt parts with which requests are refused
+     * @param rateLimits the rate limits that upstreams named
      * @param sink executes the pools' decisions on requests of this instance
      */
     public Pools(
@@ -62,11 +67,13 @@
             PoolSettings settings,
             UpstreamDirectory directory,
             PromptQuarantine quarantine,
+            RateLimits rateLimits,
             Consumer<PoolAction> sink) {
         mConnector = connector;
         mSettings = settings;
         mDirectory = directory;
         mQuarantine = quarantine;
+        mRateLimits = rateLimits;
         mSink = sink;
     }
 
@@ -80,7 +87,8 @@
      * Applies a change of the upstream directory and closes connections to upstreams now unusable.
      */
     public void upstreamsChanged(long nowMillis) {
-        mPools.forEach((name, pool) -> pool.scheduler().setUpstreams(mDirectory.usable(name)));
+        mPools.forEach(
+                (name, pool) -> pool.scheduler().setUpstreams(mDirectory.usable(name), nowMillis));
         Map<UpstreamId, ListedUpstream> usable = new HashMap<>();
         mDirectory.usable().forEach(each -> usable.put(each.id(), each));
         mConnections
@@ -98,15 +106,27 @@
         tick(nowMillis);
     }
 
+    /** Sets the part of the fleet for which this instance decides. */
+    public void setShare(FleetShare share, long nowMillis) {
+        mShare = share;
+        mPools.values().forEach(pool -> pool.scheduler().setShare(share, nowMillis));
+    }
+
+    /** Reports to the dispatcher soon, because a rate limit of an upstream has changed. */
+    public void rateLimitChanged() {
+        mDirty = true;
+        scheduleFlushAndTick();
+    }
+
     /** Submits a request that needs an upstream. */
     public void submit(PoolJob job, long nowMillis) {
-        execute(pool(job.service()).submit(job, mRemoteDispatcher.get(), nowMillis));
+        execute(pool(job.service(), nowMillis).submit(job, mRemoteDispatcher.get(), nowMillis));
         scheduleFlushAndTick();
     }
 
     /** Withdraws a waiting request. */
     public void withdraw(PoolJob job) {
-        pool(job.service()).withdraw(job);
+        Optional.ofNullable(mPools.get(job.service())).ifPresent(pool -> pool.withdraw(job));
     }
 
     /**
@@ -114,7 +134,7 @@
      * instance's use, because it ends the prefill.
      */
     public void recordProgress(PoolJob job, Ticket ticket, long nowMillis) {
-        if (pool(job.service()).scheduler().recordEvent(ticket, nowMillis)) {
+        if (pool(job.service(), nowMillis).scheduler().recordEvent(ticket, nowMillis)) {
             mDirty = true;
             scheduleFlushAndTick();
         }
@@ -122,7 +142,7 @@
 
     /** Records the end of an attempt; an absent end stands for a complete response. */
     public void attemptEnded(PoolJob job, Ticket ticket, Optional<AttemptEnd> end, long nowMillis) {
-        ServicePool pool = pool(job.service());
+        ServicePool pool = pool(job.service(), nowMillis);
         execute(pool.localActions(pool.scheduler().endAttempt(ticket, end, nowMillis)));
         mDirty = true;
         scheduleFlushAndTick();
@@ -189,14 +209,14 @@
                 .ifPresent(
                         report -> {
                             for (PoolUse use : report.pools()) {
-                                pool(use.service())
+                                pool(use.service(), nowMillis)
                                         .scheduler()
                                         .updatePeer(report.sender().instance(), use, nowMillis);
                             }
                             packet.acknowledgedGrants()
                                     .forEach(
                                             (service, grant) ->
-                                                    pool(service)
+                                                    pool(service, nowMillis)
                                                             .scheduler()
                                                             .acknowledgeGrants(
                                                                     packet.from(), grant));
@@ -215,11 +235,15 @@
      */
     private void receive(InstanceId from, PoolMessage message, long nowMillis) {
         if (message instanceof PoolMessage.Query query) {
-            execute(pool(query.job().service()).receiveQuery(from, query.job(), nowMillis));
+            execute(
+                    pool(query.job().service(), nowMillis)
+                            .receiveQuery(from, query.job(), nowMillis));
         } else if (message instanceof PoolMessage.Reply reply) {
-            execute(pool(reply.service()).receiveDecision(from, reply.decision(), nowMillis));
+            execute(
+                    pool(reply.service(), nowMillis)
+                            .receiveDecision(from, reply.decision(), nowMillis));
         } else if (message instanceof PoolMessage.Withdrawal withdrawal) {
-            pool(withdrawal.service()).receiveWithdrawal(from, withdrawal.queryId());
+            pool(withdrawal.service(), nowMillis).receiveWithdrawal(from, withdrawal.queryId());
         }
     }
 
@@ -292,15 +316,17 @@
         }
     }
 
-    private ServicePool pool(String service) {
+    private ServicePool pool(String service, long nowMillis) {
         return mPools.computeIfAbsent(
                 service,
                 name -> {
                     ServiceSpec spec =
                             mConfig.flatMap(config -> config.service(name))
                                     .orElse(new ServiceSpec(name, 0, Optional.empty()));
-                    PoolScheduler scheduler = new PoolScheduler(spec, mSettings, mQuarantine);
-                    scheduler.setUpstreams(mDirectory.usable(name));
+                    PoolScheduler scheduler =
+                            new PoolScheduler(spec, mSettings, mQuarantine, mRateLimits);
+                    scheduler.setShare(mShare, nowMillis);
+                    scheduler.setUpstreams(mDirectory.usable(name), nowMillis);
                     return new ServicePool(name, scheduler);
                 });
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -171,7 +171,11 @@
     /** Forgets old rate limits of upstreams and logs what changed in them. */
     public void rateLimitTick(long nowMillis) {
         mContext.rateLimits().tick(nowMillis);
-        for (RateLimitChange change : mContext.rateLimits().takeChanges()) {
+        List<RateLimitChange> changes = mContext.rateLimits().takeChanges();
+        if (!changes.isEmpty()) {
+            mPools.rateLimitChanged();
+        }
+        for (RateLimitChange change : changes) {
             EventLog.Line line =
                     mContext.log()
                             .line(change.logName())
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayPathTest.java
@@ -386,4 +386,31 @@
         startGateway(GatewayPathTest::respondOk);
         assertThat(send("nowhere", "1")).startsWith("HTTP/1.1 404");
     }
+
+    /** Guards against requests above a rate limit; the limit of 0 leaves room for probes only. */
+    @Test
+    void refusesAtOnceWhatARateLimitLeavesNoRoomFor() throws Exception {
+        FakeServer upstream =
+                startGateway(
+                        (request, socket) -> {
+                            String limited = OK.replaceFirst("\r\n", "\r\nRate-Limit: 0\r\n");
+                            FakeServer.write(socket, limited.formatted(requestId(request)));
+                            return true;
+                        });
+        assertThat(send("unsafe", "1")).endsWith("body").contains("Rate-Limit: 0");
+        assertThat(send("unsafe", "2")).startsWith("HTTP/1.1 429").contains("retry-after");
+        assertThat(upstream.requests()).hasSize(1);
+        awaitLogged("\"cause\":\"rate-limited\"");
+        awaitLogged("\"kind\":\"upstream.rate-limited\",\"upstream\":\"u0\"");
+        awaitLogged("\"evidence\":\"request 1\"");
+    }
+
+    /** Lines are written in batches, so they may appear after the response. */
+    private void awaitLogged(String text) {
+        while (!mLog.toString(StandardCharsets.UTF_8).contains(text)) {
+            // Lets the timeout of the test end it.
+            assertThat(Thread.currentThread().isInterrupted()).as(text).isFalse();
+            Thread.onSpinWait();
+        }
+    }
 }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/peer/PeerSocketTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/peer/PeerSocketTest.java
@@ -23,6 +23,7 @@
 import org.magnoliapick.gateway.internal.log.JsonLineWriter;
 import org.magnoliapick.gateway.internal.relay.Pools;
 import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.StoreRelay;
 import org.magnoliapick.pool.InstancePacket;
@@ -70,6 +71,7 @@
                         new PoolSettings(4_000, 100),
                         new UpstreamDirectory(),
                         new PromptQuarantine(),
+                        new RateLimits(),
                         action -> {});
         return new PeerSocket(
                 mLoop,
@@ -79,6 +81,7 @@
                 CLOCK,
                 new StoreRelay(2_000, 2_000),
                 new PromptQuarantine(),
+                new RateLimits(),
                 update -> {});
     }
 
@@ -94,7 +97,7 @@
         List<Member> known =
                 IntStream.range(0, knownInstances).mapToObj(PeerSocketTest::member).toList();
         InstanceReport report =
-                new InstanceReport(member(-1), 1, 1, false, false, List.of(), 0, 0, 0, known);
+                new InstanceReport(member(-1), 1, 1, false, false, List.of(), 0, 0, 0, 0, known);
         InstancePacket packet =
                 new InstancePacket(
                         report.sender().instance(),
@@ -103,6 +106,7 @@
                         Map.of(),
                         Optional.empty(),
                         Optional.empty(),
+                        Optional.empty(),
                         List.of());
         return UsePacketCodec.encode(packet, CLOCK.getAsLong());
     }
--- a/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
+++ b/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
@@ -27,7 +27,11 @@
     private static final String LOAD = "pool.load";
     private static final String UPSTREAM = "upstream.";
     private static final String PROMPT_QUARANTINED = "prompt.quarantined";
-    private static final String QUARANTINED = "quarantined";
+
+    /** Reasons that several kinds of lines may name and that have a text of their own. */
+    private static final Set<String> REASONS = Set.of("quarantined", "rate-limited");
+
+    private static final String RATE_LINES = "upstream.rate-";
 
     /** The ends of a request that have a cause to be told. */
     private static final Set<String> FAILED =
@@ -60,6 +64,7 @@
         tellCause(invocation, story.get(story.size() - 1), files);
         tellBeliefs(invocation, story, files);
         tellQuarantines(invocation, story, files);
+        tellRateLimits(invocation, story, files);
         return ExitCode.OK;
     }
 
@@ -117,8 +122,8 @@
             boolean refused = last.kind().equals(REFUSED);
             String reason = last.text(refused ? "cause" : "error");
             invocation.print(
-                    reason.equals(QUARANTINED)
-                            ? PgmText.get("logsCause.quarantined")
+                    REASONS.contains(reason)
+                            ? PgmText.get("logsCause." + reason)
                             : PgmText.get("logsCause." + last.kind(), reason));
         } else if (!last.kind().equals(WHOLE)) {
             invocation.print(killed(last, files).orElseGet(() -> PgmText.get("logsCause.none")));
@@ -173,6 +178,32 @@
         lastByPart.values().forEach(line -> invocation.print(line.told(fromMillis)));
     }
 
+    /**
+     * Tells the rate limits that were in force at the request's last line: of the upstreams that it
+     * was sent to, or of all if they were the reason to refuse it. Of several instances' lines the
+     * last one is told.
+     */
+    private static void tellRateLimits(
+            Invocation invocation, List<LogLine> story, List<String> files) {
+        LogLine last = story.get(story.size() - 1);
+        boolean all = last.text("cause").equals("rate-limited");
+        Set<String> upstreams =
+                story.stream().map(line -> line.text("upstream")).collect(Collectors.toSet());
+        Map<String, LogLine> lastByUpstream = new TreeMap<>();
+        LogLine.read(
+                        files,
+                        text -> text.contains(RATE_LINES),
+                        line ->
+                                line.kind().startsWith(RATE_LINES)
+                                        && line.atMillis() <= last.atMillis()
+                                        && (all || upstreams.contains(line.text("upstream"))))
+                .forEach(line -> lastByUpstream.put(line.text("upstream"), line));
+        long fromMillis = story.get(0).atMillis();
+        lastByUpstream.values().stream()
+                .filter(line -> line.kind().equals("upstream.rate-limited"))
+                .forEach(line -> invocation.print(line.told(fromMillis)));
+    }
+
     private static boolean concerns(LogLine line, Set<String> words) {
         // The evidence lists each crashed upstream, a slash and its requests.
         return words.contains(line.text("part"))
@@ -189,6 +220,7 @@
     private static boolean isChange(
             LogLine line, Set<String> upstreams, long fromMillis, long untilMillis) {
         return line.kind().startsWith(UPSTREAM)
+                && !line.kind().startsWith(RATE_LINES)
                 && upstreams.contains(line.text("upstream"))
                 && line.atMillis() >= fromMillis - AROUND_MILLIS
                 && line.atMillis() <= untilMillis + AROUND_MILLIS;
--- a/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
+++ b/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
@@ -295,6 +295,26 @@
         assertThat(mOut.toString()).contains("+10 ms  prompt.quarantined  part=bad  crashes=3");
     }
 
+    @Test
+    void tellsTheRateLimitsThatWereInForce() throws IOException {
+        Path file = mDirectory.resolve("gateway.log");
+        Files.writeString(
+                file,
+                "{\"atMillis\":10,\"kind\":\"upstream.rate-limited\",\"upstream\":\"u\","
+                        + "\"perSecond\":\"6.3\",\"evidence\":\"request r\"}\n"
+                        + "{\"atMillis\":11,\"kind\":\"upstream.rate-limited\","
+                        + "\"upstream\":\"v\",\"perSecond\":\"2\",\"evidence\":\"request s\"}\n"
+                        + "{\"atMillis\":20,\"kind\":\"upstream.rate-unlimited\","
+                        + "\"upstream\":\"v\",\"evidence\":\"request t\"}\n"
+                        + "{\"atMillis\":5000,\"kind\":\"request.refused\","
+                        + "\"request\":\"ab\",\"cause\":\"rate-limited\"}\n");
+        assertThat(run("logs", "explain", "ab", file.toString())).isZero();
+        assertThat(mOut.toString())
+                .contains("Cause: the rate limits that all upstreams named")
+                .contains("-4990 ms  upstream.rate-limited  upstream=u  perSecond=6.3")
+                .doesNotContain("upstream=v");
+    }
+
     @Test
     void tellsThatTheInstanceOfARequestWasKilled() throws IOException {
         Path file = mDirectory.resolve("all.log");
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
@@ -42,6 +42,7 @@
         message.setKnownDigest(report.knownDigest());
         message.setListOffset(report.listOffset());
         message.setSuspectsVersion(report.suspectsVersion());
+        message.setLimitsVersion(report.limitsVersion());
         if (report.wantsReply()) {
             message.setWantsReply(true);
         }
@@ -117,6 +118,9 @@
             if (each.tokensPerMilli() > 0) {
                 upstream.setTokensPerMilli(each.tokensPerMilli());
             }
+            if (each.starts() > 0) {
+                upstream.setStarts(each.starts());
+            }
             upstreams.add(upstream);
         }
         List<UseWorkspace> workspaces = new ArrayList<>();
@@ -153,6 +157,7 @@
                 message.getKnownDigest(),
                 message.getListOffset(),
                 message.getSuspectsVersion(),
+                message.getLimitsVersion(),
                 members);
     }
 
@@ -165,7 +170,8 @@
                             each.getRunning(),
                             each.getReadingTokens(),
                             each.getMemoryTokens(),
-                            each.getTokensPerMilli()));
+                            each.getTokensPerMilli(),
+                            each.getStarts()));
         }
         Map<WorkspaceId, Long> served = new HashMap<>();
         pool.getWorkspaces()
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
@@ -39,6 +39,8 @@
         packet.storeUpdate().ifPresent(news -> message.setNews(UseCodec.news(news)));
         packet.suspects()
                 .ifPresent(each -> message.setSuspects(SuspectCodec.update(each, nowMillis)));
+        packet.rateLimits()
+                .ifPresent(each -> message.setLimits(RateLimitCodec.update(each, nowMillis)));
         if (!packet.acknowledgedGrants().isEmpty()) {
             message.setGrantsTaken(packet.acknowledgedGrants());
         }
@@ -102,6 +104,9 @@
                 message.isSetSuspects()
                         ? Optional.of(SuspectCodec.update(message.getSuspects(), nowMillis))
                         : Optional.empty(),
+                message.isSetLimits()
+                        ? Optional.of(RateLimitCodec.update(message.getLimits(), nowMillis))
+                        : Optional.empty(),
                 messages);
     }
 
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
@@ -22,6 +22,7 @@
   private static final org.apache.thrift.protocol.TField WITHDRAWALS_FIELD_DESC = new org.apache.thrift.protocol.TField("withdrawals", org.apache.thrift.protocol.TType.LIST, (short)7);
   private static final org.apache.thrift.protocol.TField NEWS_FIELD_DESC = new org.apache.thrift.protocol.TField("news", org.apache.thrift.protocol.TType.STRUCT, (short)8);
   private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.STRUCT, (short)9);
+  private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.STRUCT, (short)10);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UsePacketStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UsePacketTupleSchemeFactory();
@@ -35,6 +36,7 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<UseWithdrawal> withdrawals; // optional
   public @org.apache.thrift.annotation.Nullable UseStoreNews news; // optional
   public @org.apache.thrift.annotation.Nullable UseSuspects suspects; // optional
+  public @org.apache.thrift.annotation.Nullable UseRateLimits limits; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -46,7 +48,8 @@
     DECISIONS((short)6, "decisions"),
     WITHDRAWALS((short)7, "withdrawals"),
     NEWS((short)8, "news"),
-    SUSPECTS((short)9, "suspects");
+    SUSPECTS((short)9, "suspects"),
+    LIMITS((short)10, "limits");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -80,6 +83,8 @@
           return NEWS;
         case 9: // SUSPECTS
           return SUSPECTS;
+        case 10: // LIMITS
+          return LIMITS;
         default:
           return null;
       }
@@ -123,7 +128,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.REPORT,_Fields.GRANTS_TAKEN,_Fields.ASKS,_Fields.DECISIONS,_Fields.WITHDRAWALS,_Fields.NEWS,_Fields.SUSPECTS};
+  private static final _Fields optionals[] = {_Fields.REPORT,_Fields.GRANTS_TAKEN,_Fields.ASKS,_Fields.DECISIONS,_Fields.WITHDRAWALS,_Fields.NEWS,_Fields.SUSPECTS,_Fields.LIMITS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -150,6 +155,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseStoreNews.class)));
     tmpMap.put(_Fields.SUSPECTS, new org.apache.thrift.meta_data.FieldMetaData("suspects", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseSuspects.class)));
+    tmpMap.put(_Fields.LIMITS, new org.apache.thrift.meta_data.FieldMetaData("limits", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseRateLimits.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UsePacket.class, metaDataMap);
   }
@@ -210,6 +217,9 @@
     if (other.isSetSuspects()) {
       this.suspects = new UseSuspects(other.suspects);
     }
+    if (other.isSetLimits()) {
+      this.limits = new UseRateLimits(other.limits);
+    }
   }
 
   @Override
@@ -228,6 +238,7 @@
     this.withdrawals = null;
     this.news = null;
     this.suspects = null;
+    this.limits = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -514,6 +525,31 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public UseRateLimits getLimits() {
+    return this.limits;
+  }
+
+  public UsePacket setLimits(@org.apache.thrift.annotation.Nullable UseRateLimits limits) {
+    this.limits = limits;
+    return this;
+  }
+
+  public void unsetLimits() {
+    this.limits = null;
+  }
+
+  /** Returns true if field limits is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimits() {
+    return this.limits != null;
+  }
+
+  public void setLimitsIsSet(boolean value) {
+    if (!value) {
+      this.limits = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -589,6 +625,14 @@
       }
       break;
 
+    case LIMITS:
+      if (value == null) {
+        unsetLimits();
+      } else {
+        setLimits((UseRateLimits)value);
+      }
+      break;
+
     }
   }
 
@@ -623,6 +667,9 @@
     case SUSPECTS:
       return getSuspects();
 
+    case LIMITS:
+      return getLimits();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -653,6 +700,8 @@
       return isSetNews();
     case SUSPECTS:
       return isSetSuspects();
+    case LIMITS:
+      return isSetLimits();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -751,6 +800,15 @@
         return false;
     }
 
+    boolean this_present_limits = true && this.isSetLimits();
+    boolean that_present_limits = true && that.isSetLimits();
+    if (this_present_limits || that_present_limits) {
+      if (!(this_present_limits && that_present_limits))
+        return false;
+      if (!this.limits.equals(that.limits))
+        return false;
+    }
+
     return true;
   }
 
@@ -794,6 +852,10 @@
     if (isSetSuspects())
       hashCode = hashCode * 8191 + suspects.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetLimits()) ? 131071 : 524287);
+    if (isSetLimits())
+      hashCode = hashCode * 8191 + limits.hashCode();
+
     return hashCode;
   }
 
@@ -895,6 +957,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimits(), other.isSetLimits());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimits()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limits, other.limits);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1004,6 +1076,16 @@
       }
       first = false;
     }
+    if (isSetLimits()) {
+      if (!first) sb.append(", ");
+      sb.append("limits:");
+      if (this.limits == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.limits);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1026,6 +1108,9 @@
     if (suspects != null) {
       suspects.validate();
     }
+    if (limits != null) {
+      limits.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -1092,15 +1177,15 @@
           case 4: // GRANTS_TAKEN
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map88 = iprot.readMapBegin();
-                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map88.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key89;
-                long _val90;
-                for (int _i91 = 0; _i91 < _map88.size; ++_i91)
+                org.apache.thrift.protocol.TMap _map96 = iprot.readMapBegin();
+                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map96.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key97;
+                long _val98;
+                for (int _i99 = 0; _i99 < _map96.size; ++_i99)
                 {
-                  _key89 = iprot.readString();
-                  _val90 = iprot.readI64();
-                  struct.grantsTaken.put(_key89, _val90);
+                  _key97 = iprot.readString();
+                  _val98 = iprot.readI64();
+                  struct.grantsTaken.put(_key97, _val98);
                 }
                 iprot.readMapEnd();
               }
@@ -1112,14 +1197,14 @@
           case 5: // ASKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list92 = iprot.readListBegin();
-                struct.asks = new java.util.ArrayList<UseAsk>(_list92.size);
-                @org.apache.thrift.annotation.Nullable UseAsk _elem93;
-                for (int _i94 = 0; _i94 < _list92.size; ++_i94)
+                org.apache.thrift.protocol.TList _list100 = iprot.readListBegin();
+                struct.asks = new java.util.ArrayList<UseAsk>(_list100.size);
+                @org.apache.thrift.annotation.Nullable UseAsk _elem101;
+                for (int _i102 = 0; _i102 < _list100.size; ++_i102)
                 {
-                  _elem93 = new UseAsk();
-                  _elem93.read(iprot);
-                  struct.asks.add(_elem93);
+                  _elem101 = new UseAsk();
+                  _elem101.read(iprot);
+                  struct.asks.add(_elem101);
                 }
                 iprot.readListEnd();
               }
@@ -1131,14 +1216,14 @@
           case 6: // DECISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list95 = iprot.readListBegin();
-                struct.decisions = new java.util.ArrayList<UseDecision>(_list95.size);
-                @org.apache.thrift.annotation.Nullable UseDecision _elem96;
-                for (int _i97 = 0; _i97 < _list95.size; ++_i97)
+                org.apache.thrift.protocol.TList _list103 = iprot.readListBegin();
+                struct.decisions = new java.util.ArrayList<UseDecision>(_list103.size);
+                @org.apache.thrift.annotation.Nullable UseDecision _elem104;
+                for (int _i105 = 0; _i105 < _list103.size; ++_i105)
                 {
-                  _elem96 = new UseDecision();
-                  _elem96.read(iprot);
-                  struct.decisions.add(_elem96);
+                  _elem104 = new UseDecision();
+                  _elem104.read(iprot);
+                  struct.decisions.add(_elem104);
                 }
                 iprot.readListEnd();
               }
@@ -1150,14 +1235,14 @@
           case 7: // WITHDRAWALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list98 = iprot.readListBegin();
-                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list98.size);
-                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem99;
-                for (int _i100 = 0; _i100 < _list98.size; ++_i100)
+                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
+                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list106.size);
+                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem107;
+                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
                 {
-                  _elem99 = new UseWithdrawal();
-                  _elem99.read(iprot);
-                  struct.withdrawals.add(_elem99);
+                  _elem107 = new UseWithdrawal();
+                  _elem107.read(iprot);
+                  struct.withdrawals.add(_elem107);
                 }
                 iprot.readListEnd();
               }
@@ -1184,6 +1269,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 10: // LIMITS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.limits = new UseRateLimits();
+              struct.limits.read(iprot);
+              struct.setLimitsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1222,10 +1316,10 @@
           oprot.writeFieldBegin(GRANTS_TAKEN_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.grantsTaken.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter101 : struct.grantsTaken.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter109 : struct.grantsTaken.entrySet())
             {
-              oprot.writeString(_iter101.getKey());
-              oprot.writeI64(_iter101.getValue());
+              oprot.writeString(_iter109.getKey());
+              oprot.writeI64(_iter109.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1237,9 +1331,9 @@
           oprot.writeFieldBegin(ASKS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.asks.size()));
-            for (UseAsk _iter102 : struct.asks)
+            for (UseAsk _iter110 : struct.asks)
             {
-              _iter102.write(oprot);
+              _iter110.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1251,9 +1345,9 @@
           oprot.writeFieldBegin(DECISIONS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.decisions.size()));
-            for (UseDecision _iter103 : struct.decisions)
+            for (UseDecision _iter111 : struct.decisions)
             {
-              _iter103.write(oprot);
+              _iter111.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1265,9 +1359,9 @@
           oprot.writeFieldBegin(WITHDRAWALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.withdrawals.size()));
-            for (UseWithdrawal _iter104 : struct.withdrawals)
+            for (UseWithdrawal _iter112 : struct.withdrawals)
             {
-              _iter104.write(oprot);
+              _iter112.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1288,6 +1382,13 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.limits != null) {
+        if (struct.isSetLimits()) {
+          oprot.writeFieldBegin(LIMITS_FIELD_DESC);
+          struct.limits.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1330,44 +1431,47 @@
       if (struct.isSetSuspects()) {
         optionals.set(6);
       }
-      oprot.writeBitSet(optionals, 7);
+      if (struct.isSetLimits()) {
+        optionals.set(7);
+      }
+      oprot.writeBitSet(optionals, 8);
       if (struct.isSetReport()) {
         struct.report.write(oprot);
       }
       if (struct.isSetGrantsTaken()) {
         {
           oprot.writeI32(struct.grantsTaken.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter105 : struct.grantsTaken.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter113 : struct.grantsTaken.entrySet())
           {
-            oprot.writeString(_iter105.getKey());
-            oprot.writeI64(_iter105.getValue());
+            oprot.writeString(_iter113.getKey());
+            oprot.writeI64(_iter113.getValue());
           }
         }
       }
       if (struct.isSetAsks()) {
         {
           oprot.writeI32(struct.asks.size());
-          for (UseAsk _iter106 : struct.asks)
+          for (UseAsk _iter114 : struct.asks)
           {
-            _iter106.write(oprot);
+            _iter114.write(oprot);
           }
         }
       }
       if (struct.isSetDecisions()) {
         {
           oprot.writeI32(struct.decisions.size());
-          for (UseDecision _iter107 : struct.decisions)
+          for (UseDecision _iter115 : struct.decisions)
           {
-            _iter107.write(oprot);
+            _iter115.write(oprot);
           }
         }
       }
       if (struct.isSetWithdrawals()) {
         {
           oprot.writeI32(struct.withdrawals.size());
-          for (UseWithdrawal _iter108 : struct.withdrawals)
+          for (UseWithdrawal _iter116 : struct.withdrawals)
           {
-            _iter108.write(oprot);
+            _iter116.write(oprot);
           }
         }
       }
@@ -1377,6 +1481,9 @@
       if (struct.isSetSuspects()) {
         struct.suspects.write(oprot);
       }
+      if (struct.isSetLimits()) {
+        struct.limits.write(oprot);
+      }
     }
 
     @Override
@@ -1386,7 +1493,7 @@
       struct.setFromInstanceIsSet(true);
       struct.address = iprot.readString();
       struct.setAddressIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(8);
       if (incoming.get(0)) {
         struct.report = new UseReport();
         struct.report.read(iprot);
@@ -1394,57 +1501,57 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map109 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map109.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key110;
-          long _val111;
-          for (int _i112 = 0; _i112 < _map109.size; ++_i112)
+          org.apache.thrift.protocol.TMap _map117 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map117.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key118;
+          long _val119;
+          for (int _i120 = 0; _i120 < _map117.size; ++_i120)
           {
-            _key110 = iprot.readString();
-            _val111 = iprot.readI64();
-            struct.grantsTaken.put(_key110, _val111);
+            _key118 = iprot.readString();
+            _val119 = iprot.readI64();
+            struct.grantsTaken.put(_key118, _val119);
           }
         }
         struct.setGrantsTakenIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list113 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.asks = new java.util.ArrayList<UseAsk>(_list113.size);
-          @org.apache.thrift.annotation.Nullable UseAsk _elem114;
-          for (int _i115 = 0; _i115 < _list113.size; ++_i115)
+          org.apache.thrift.protocol.TList _list121 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.asks = new java.util.ArrayList<UseAsk>(_list121.size);
+          @org.apache.thrift.annotation.Nullable UseAsk _elem122;
+          for (int _i123 = 0; _i123 < _list121.size; ++_i123)
           {
-            _elem114 = new UseAsk();
-            _elem114.read(iprot);
-            struct.asks.add(_elem114);
+            _elem122 = new UseAsk();
+            _elem122.read(iprot);
+            struct.asks.add(_elem122);
           }
         }
         struct.setAsksIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list116 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.decisions = new java.util.ArrayList<UseDecision>(_list116.size);
-          @org.apache.thrift.annotation.Nullable UseDecision _elem117;
-          for (int _i118 = 0; _i118 < _list116.size; ++_i118)
+          org.apache.thrift.protocol.TList _list124 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.decisions = new java.util.ArrayList<UseDecision>(_list124.size);
+          @org.apache.thrift.annotation.Nullable UseDecision _elem125;
+          for (int _i126 = 0; _i126 < _list124.size; ++_i126)
           {
-            _elem117 = new UseDecision();
-            _elem117.read(iprot);
-            struct.decisions.add(_elem117);
+            _elem125 = new UseDecision();
+            _elem125.read(iprot);
+            struct.decisions.add(_elem125);
           }
         }
         struct.setDecisionsIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list119.size);
-          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem120;
-          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
+          org.apache.thrift.protocol.TList _list127 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list127.size);
+          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem128;
+          for (int _i129 = 0; _i129 < _list127.size; ++_i129)
           {
-            _elem120 = new UseWithdrawal();
-            _elem120.read(iprot);
-            struct.withdrawals.add(_elem120);
+            _elem128 = new UseWithdrawal();
+            _elem128.read(iprot);
+            struct.withdrawals.add(_elem128);
           }
         }
         struct.setWithdrawalsIsSet(true);
@@ -1459,6 +1566,11 @@
         struct.suspects.read(iprot);
         struct.setSuspectsIsSet(true);
       }
+      if (incoming.get(7)) {
+        struct.limits = new UseRateLimits();
+        struct.limits.read(iprot);
+        struct.setLimitsIsSet(true);
+      }
     }
   }
 
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseReport.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseReport.java
@@ -26,6 +26,7 @@
   private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.LIST, (short)12);
   private static final org.apache.thrift.protocol.TField LIST_OFFSET_FIELD_DESC = new org.apache.thrift.protocol.TField("listOffset", org.apache.thrift.protocol.TType.I64, (short)13);
   private static final org.apache.thrift.protocol.TField SUSPECTS_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsVersion", org.apache.thrift.protocol.TType.I64, (short)14);
+  private static final org.apache.thrift.protocol.TField LIMITS_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("limitsVersion", org.apache.thrift.protocol.TType.I64, (short)15);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UseReportStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UseReportTupleSchemeFactory();
@@ -55,6 +56,10 @@
    * Up to which version of the receiver's suspected prompt parts the sender knows them.
    */
   public long suspectsVersion; // optional
+  /**
+   * Up to which version of the receiver's rate limits the sender knows them.
+   */
+  public long limitsVersion; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -82,7 +87,11 @@
     /**
      * Up to which version of the receiver's suspected prompt parts the sender knows them.
      */
-    SUSPECTS_VERSION((short)14, "suspectsVersion");
+    SUSPECTS_VERSION((short)14, "suspectsVersion"),
+    /**
+     * Up to which version of the receiver's rate limits the sender knows them.
+     */
+    LIMITS_VERSION((short)15, "limitsVersion");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -124,6 +133,8 @@
           return LIST_OFFSET;
         case 14: // SUSPECTS_VERSION
           return SUSPECTS_VERSION;
+        case 15: // LIMITS_VERSION
+          return LIMITS_VERSION;
         default:
           return null;
       }
@@ -175,8 +186,9 @@
   private static final int __KNOWNDIGEST_ISSET_ID = 5;
   private static final int __LISTOFFSET_ISSET_ID = 6;
   private static final int __SUSPECTSVERSION_ISSET_ID = 7;
-  private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.WANTS_REPLY,_Fields.DECLINES_DUTY,_Fields.KNOWN_DIGEST,_Fields.MEMBERS,_Fields.LIST_OFFSET,_Fields.SUSPECTS_VERSION};
+  private static final int __LIMITSVERSION_ISSET_ID = 8;
+  private short __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.WANTS_REPLY,_Fields.DECLINES_DUTY,_Fields.KNOWN_DIGEST,_Fields.MEMBERS,_Fields.LIST_OFFSET,_Fields.SUSPECTS_VERSION,_Fields.LIMITS_VERSION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -208,6 +220,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.SUSPECTS_VERSION, new org.apache.thrift.meta_data.FieldMetaData("suspectsVersion", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LIMITS_VERSION, new org.apache.thrift.meta_data.FieldMetaData("limitsVersion", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UseReport.class, metaDataMap);
   }
@@ -273,6 +287,7 @@
     }
     this.listOffset = other.listOffset;
     this.suspectsVersion = other.suspectsVersion;
+    this.limitsVersion = other.limitsVersion;
   }
 
   @Override
@@ -303,6 +318,8 @@
     this.listOffset = 0;
     setSuspectsVersionIsSet(false);
     this.suspectsVersion = 0;
+    setLimitsVersionIsSet(false);
+    this.limitsVersion = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -670,6 +687,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUSPECTSVERSION_ISSET_ID, value);
   }
 
+  /**
+   * Up to which version of the receiver's rate limits the sender knows them.
+   */
+  public long getLimitsVersion() {
+    return this.limitsVersion;
+  }
+
+  /**
+   * Up to which version of the receiver's rate limits the sender knows them.
+   */
+  public UseReport setLimitsVersion(long limitsVersion) {
+    this.limitsVersion = limitsVersion;
+    setLimitsVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetLimitsVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LIMITSVERSION_ISSET_ID);
+  }
+
+  /** Returns true if field limitsVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimitsVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LIMITSVERSION_ISSET_ID);
+  }
+
+  public void setLimitsVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LIMITSVERSION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -777,6 +823,14 @@
       }
       break;
 
+    case LIMITS_VERSION:
+      if (value == null) {
+        unsetLimitsVersion();
+      } else {
+        setLimitsVersion((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -823,6 +877,9 @@
     case SUSPECTS_VERSION:
       return getSuspectsVersion();
 
+    case LIMITS_VERSION:
+      return getLimitsVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -861,6 +918,8 @@
       return isSetListOffset();
     case SUSPECTS_VERSION:
       return isSetSuspectsVersion();
+    case LIMITS_VERSION:
+      return isSetLimitsVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -995,6 +1054,15 @@
         return false;
     }
 
+    boolean this_present_limitsVersion = true && this.isSetLimitsVersion();
+    boolean that_present_limitsVersion = true && that.isSetLimitsVersion();
+    if (this_present_limitsVersion || that_present_limitsVersion) {
+      if (!(this_present_limitsVersion && that_present_limitsVersion))
+        return false;
+      if (this.limitsVersion != that.limitsVersion)
+        return false;
+    }
+
     return true;
   }
 
@@ -1048,6 +1116,10 @@
     if (isSetSuspectsVersion())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(suspectsVersion);
 
+    hashCode = hashCode * 8191 + ((isSetLimitsVersion()) ? 131071 : 524287);
+    if (isSetLimitsVersion())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(limitsVersion);
+
     return hashCode;
   }
 
@@ -1189,6 +1261,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimitsVersion(), other.isSetLimitsVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimitsVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limitsVersion, other.limitsVersion);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1296,6 +1378,12 @@
       sb.append(this.suspectsVersion);
       first = false;
     }
+    if (isSetLimitsVersion()) {
+      if (!first) sb.append(", ");
+      sb.append("limitsVersion:");
+      sb.append(this.limitsVersion);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1484,6 +1572,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 15: // LIMITS_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.limitsVersion = iprot.readI64();
+              struct.setLimitsVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1584,6 +1680,11 @@
         oprot.writeI64(struct.suspectsVersion);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetLimitsVersion()) {
+        oprot.writeFieldBegin(LIMITS_VERSION_FIELD_DESC);
+        oprot.writeI64(struct.limitsVersion);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1634,7 +1735,10 @@
       if (struct.isSetSuspectsVersion()) {
         optionals.set(5);
       }
-      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetLimitsVersion()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetWantsReply()) {
         oprot.writeBool(struct.wantsReply);
       }
@@ -1659,6 +1763,9 @@
       if (struct.isSetSuspectsVersion()) {
         oprot.writeI64(struct.suspectsVersion);
       }
+      if (struct.isSetLimitsVersion()) {
+        oprot.writeI64(struct.limitsVersion);
+      }
     }
 
     @Override
@@ -1688,7 +1795,7 @@
       struct.setAddressIsSet(true);
       struct.milliCores = iprot.readI32();
       struct.setMilliCoresIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(6);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.wantsReply = iprot.readBool();
         struct.setWantsReplyIsSet(true);
@@ -1723,6 +1830,10 @@
         struct.suspectsVersion = iprot.readI64();
         struct.setSuspectsVersionIsSet(true);
       }
+      if (incoming.get(6)) {
+        struct.limitsVersion = iprot.readI64();
+        struct.setLimitsVersionIsSet(true);
+      }
     }
   }
 
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseUpstream.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseUpstream.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField READING_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("readingTokens", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField MEMORY_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("memoryTokens", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField TOKENS_PER_MILLI_FIELD_DESC = new org.apache.thrift.protocol.TField("tokensPerMilli", org.apache.thrift.protocol.TType.I32, (short)5);
+  private static final org.apache.thrift.protocol.TField STARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("starts", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UseUpstreamStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UseUpstreamTupleSchemeFactory();
@@ -27,6 +28,10 @@
   public long readingTokens; // required
   public long memoryTokens; // required
   public int tokensPerMilli; // optional
+  /**
+   * Requests that the sender decided to send there since the upstream was rate-limited.
+   */
+  public long starts; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +39,11 @@
     RUNNING((short)2, "running"),
     READING_TOKENS((short)3, "readingTokens"),
     MEMORY_TOKENS((short)4, "memoryTokens"),
-    TOKENS_PER_MILLI((short)5, "tokensPerMilli");
+    TOKENS_PER_MILLI((short)5, "tokensPerMilli"),
+    /**
+     * Requests that the sender decided to send there since the upstream was rate-limited.
+     */
+    STARTS((short)6, "starts");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -60,6 +69,8 @@
           return MEMORY_TOKENS;
         case 5: // TOKENS_PER_MILLI
           return TOKENS_PER_MILLI;
+        case 6: // STARTS
+          return STARTS;
         default:
           return null;
       }
@@ -107,8 +118,9 @@
   private static final int __READINGTOKENS_ISSET_ID = 1;
   private static final int __MEMORYTOKENS_ISSET_ID = 2;
   private static final int __TOKENSPERMILLI_ISSET_ID = 3;
+  private static final int __STARTS_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.TOKENS_PER_MILLI};
+  private static final _Fields optionals[] = {_Fields.TOKENS_PER_MILLI,_Fields.STARTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -122,6 +134,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.TOKENS_PER_MILLI, new org.apache.thrift.meta_data.FieldMetaData("tokensPerMilli", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.STARTS, new org.apache.thrift.meta_data.FieldMetaData("starts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UseUpstream.class, metaDataMap);
   }
@@ -157,6 +171,7 @@
     this.readingTokens = other.readingTokens;
     this.memoryTokens = other.memoryTokens;
     this.tokensPerMilli = other.tokensPerMilli;
+    this.starts = other.starts;
   }
 
   @Override
@@ -175,6 +190,8 @@
     this.memoryTokens = 0;
     setTokensPerMilliIsSet(false);
     this.tokensPerMilli = 0;
+    setStartsIsSet(false);
+    this.starts = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -294,6 +311,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENSPERMILLI_ISSET_ID, value);
   }
 
+  /**
+   * Requests that the sender decided to send there since the upstream was rate-limited.
+   */
+  public long getStarts() {
+    return this.starts;
+  }
+
+  /**
+   * Requests that the sender decided to send there since the upstream was rate-limited.
+   */
+  public UseUpstream setStarts(long starts) {
+    this.starts = starts;
+    setStartsIsSet(true);
+    return this;
+  }
+
+  public void unsetStarts() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STARTS_ISSET_ID);
+  }
+
+  /** Returns true if field starts is set (has been assigned a value) and false otherwise */
+  public boolean isSetStarts() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STARTS_ISSET_ID);
+  }
+
+  public void setStartsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -337,6 +383,14 @@
       }
       break;
 
+    case STARTS:
+      if (value == null) {
+        unsetStarts();
+      } else {
+        setStarts((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -359,6 +413,9 @@
     case TOKENS_PER_MILLI:
       return getTokensPerMilli();
 
+    case STARTS:
+      return getStarts();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -381,6 +438,8 @@
       return isSetMemoryTokens();
     case TOKENS_PER_MILLI:
       return isSetTokensPerMilli();
+    case STARTS:
+      return isSetStarts();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -443,6 +502,15 @@
         return false;
     }
 
+    boolean this_present_starts = true && this.isSetStarts();
+    boolean that_present_starts = true && that.isSetStarts();
+    if (this_present_starts || that_present_starts) {
+      if (!(this_present_starts && that_present_starts))
+        return false;
+      if (this.starts != that.starts)
+        return false;
+    }
+
     return true;
   }
 
@@ -464,6 +532,10 @@
     if (isSetTokensPerMilli())
       hashCode = hashCode * 8191 + tokensPerMilli;
 
+    hashCode = hashCode * 8191 + ((isSetStarts()) ? 131071 : 524287);
+    if (isSetStarts())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(starts);
+
     return hashCode;
   }
 
@@ -525,6 +597,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStarts(), other.isSetStarts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStarts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.starts, other.starts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -574,6 +656,12 @@
       sb.append(this.tokensPerMilli);
       first = false;
     }
+    if (isSetStarts()) {
+      if (!first) sb.append(", ");
+      sb.append("starts:");
+      sb.append(this.starts);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -667,6 +755,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // STARTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.starts = iprot.readI64();
+              struct.setStartsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -711,6 +807,11 @@
         oprot.writeI32(struct.tokensPerMilli);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetStarts()) {
+        oprot.writeFieldBegin(STARTS_FIELD_DESC);
+        oprot.writeI64(struct.starts);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -737,10 +838,16 @@
       if (struct.isSetTokensPerMilli()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetStarts()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetTokensPerMilli()) {
         oprot.writeI32(struct.tokensPerMilli);
       }
+      if (struct.isSetStarts()) {
+        oprot.writeI64(struct.starts);
+      }
     }
 
     @Override
@@ -754,11 +861,15 @@
       struct.setReadingTokensIsSet(true);
       struct.memoryTokens = iprot.readI64();
       struct.setMemoryTokensIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.tokensPerMilli = iprot.readI32();
         struct.setTokensPerMilliIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.starts = iprot.readI64();
+        struct.setStartsIsSet(true);
+      }
     }
   }
 
--- a/magnoliapick-rpc/src/main/thrift/use.thrift
+++ b/magnoliapick-rpc/src/main/thrift/use.thrift
@@ -8,6 +8,8 @@
   3: required i64 readingTokens
   4: required i64 memoryTokens
   5: optional i32 tokensPerMilli
+  /** Requests that the sender decided to send there since the upstream was rate-limited. */
+  6: optional i64 starts
 }
 
 /** What a workspace was served by the sender, decayed over the share window. */
@@ -56,6 +58,8 @@
   13: optional i64 listOffset
   /** Up to which version of the receiver's suspected prompt parts the sender knows them. */
   14: optional i64 suspectsVersion
+  /** Up to which version of the receiver's rate limits the sender knows them. */
+  15: optional i64 limitsVersion
 }
 
 /** A record of the list of upstreams; without a value its key was dropped. */
@@ -139,6 +143,20 @@
   2: optional list<UseSuspect> suspects
 }
 
+/** What an upstream last stated about its rate limit; without a rate it has none. */
+struct UseRateLimit {
+  1: required string upstream
+  2: required i64 startedMillis
+  3: required i64 ageMillis
+  4: optional double perSecond
+}
+
+/** The rate limits of upstreams that the receiver lacks. */
+struct UseRateLimits {
+  1: required i64 version
+  2: optional list<UseRateLimit> limits
+}
+
 /** One datagram. */
 struct UsePacket {
   1: required string fromInstance
@@ -150,4 +168,5 @@
   7: optional list<UseWithdrawal> withdrawals
   8: optional UseStoreNews news
   9: optional UseSuspects suspects
+  10: optional UseRateLimits limits
 }
--- a/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
@@ -16,6 +17,8 @@
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.limit.RateLimit;
+import org.magnoliapick.limit.RateLimitUpdate;
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.StoreUpdate;
 import org.magnoliapick.member.UpstreamChange;
@@ -66,11 +69,19 @@
                 14, List.of(new SuspectReport(new PartKey("s", "part"), List.of(crash, refuted))));
     }
 
+    private static RateLimitUpdate rateLimits() {
+        return new RateLimitUpdate(
+                15,
+                List.of(
+                        new RateLimit(new UpstreamId("u"), 12, OptionalDouble.of(6.3), 900),
+                        new RateLimit(new UpstreamId("v"), 13, OptionalDouble.empty(), 800)));
+    }
+
     private static InstancePacket packet() {
         PoolUse use =
                 new PoolUse(
                         "s",
-                        List.of(new UpstreamUse(new UpstreamId("u"), 3, 400, 5_000, 70)),
+                        List.of(new UpstreamUse(new UpstreamId("u"), 3, 400, 5_000, 70, 12)),
                         Map.of(new WorkspaceId("w"), 9L),
                         11,
                         OptionalLong.of(4),
@@ -92,10 +103,12 @@
                                 -9,
                                 10,
                                 11,
+                                13,
                                 List.of(member))),
                 Map.of("s", 8L),
                 Optional.of(new StoreUpdate(6, 9, 20, List.of(put, dropped), 3, 400)),
                 Optional.of(suspects()),
+                Optional.of(rateLimits()),
                 List.of(
                         new PoolMessage.Query(TO, job()),
                         new PoolMessage.Reply(TO, "s", new PoolDecision.Queued(1)),
