Log the epoch of the store and the configurations that are ignored

Cause: no line told to which log of the store an offset belongs, nor which configuration records were read and not applied. Change: the dialect reads the epoch from each response of the store; store.epoch is logged when it changes, and config.ignored for a version that is not newer than the one in force.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/Dialect.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/Dialect.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.route.TrafficConfig;
@@ -28,6 +29,12 @@
     /** Reads an upstream's entry in the list; empty if the entry is invalid. */
     Optional<ListedUpstream> readUpstream(UpstreamId id, byte[] value);
 
+    /**
+     * Reads the epoch of the store's logs from the head of any of its responses; empty if it names
+     * none. The epoch increases when the store loses records and gives out offsets again.
+     */
+    OptionalLong readStoreEpoch(HttpResponse head);
+
     /** Returns a call that reads the newest record of each key, beginning after a key if given. */
     StoreCall newestRecords(StoreTopic topic, Optional<String> afterKey);
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/BufferingHttpClient.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/BufferingHttpClient.java
@@ -37,7 +37,7 @@
     /** Receives the outcome of a request; exactly one of the methods is called. */
     public interface Listener {
         /** The response is complete. */
-        void answered(int status, byte[] body);
+        void answered(HttpResponse head, byte[] body);
 
         /** The request failed or timed out; no response will follow. */
         void failed(String reason);
@@ -67,7 +67,7 @@
         private final ByteBuf mBody = Unpooled.buffer(1_024);
         private ScheduledFuture<?> mTimer;
         private HttpConnection mConnection;
-        private int mStatus;
+        private HttpResponse mHead;
         private boolean mEnded;
 
         private Call(Listener listener) {
@@ -87,7 +87,7 @@
 
         @Override
         public boolean onHead(HttpResponse head) {
-            mStatus = head.status().code();
+            mHead = head;
             return true;
         }
 
@@ -107,7 +107,7 @@
             mPool.release(mConnection, mClockMillis.getAsLong());
             byte[] body = new byte[mBody.readableBytes()];
             mBody.readBytes(body);
-            mListener.answered(mStatus, body);
+            mListener.answered(mHead, body);
         }
 
         @Override
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigHandler.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigHandler.java
@@ -90,6 +90,11 @@
 
     private void applyVersion(TrafficConfig config, long offset) {
         if (config.version() <= mVersion) {
+            mLog.line("config.ignored")
+                    .with("version", config.version())
+                    .with("inForce", mVersion)
+                    .with("offset", offset)
+                    .log();
             return;
         }
         mVersion = config.version();
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/StoreFollower.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/StoreFollower.java
@@ -1,9 +1,11 @@
 package org.magnoliapick.gateway.internal.store;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -49,6 +51,7 @@
     private List<StoreRecord> mSnapshotRecords = new ArrayList<>();
     private long mSnapshotEndOffset = -1;
     private long mNextOffset;
+    private long mEpoch;
     private long mCallSentMillis;
     private boolean mUnavailable;
     private long mRetryMillis = RETRY_MILLIS;
@@ -202,8 +205,9 @@
                 waitMillis + RESPONSE_MILLIS,
                 new BufferingHttpClient.Listener() {
                     @Override
-                    public void answered(int status, byte[] body) {
-                        StoreResponse response = decode(call, status, body);
+                    public void answered(HttpResponse head, byte[] body) {
+                        logEpoch(head);
+                        StoreResponse response = decode(call, head.status().code(), body);
                         if (response instanceof StoreResponse.Failed failure) {
                             markUnavailable(failure.reason());
                         } else {
@@ -220,6 +224,19 @@
                 });
     }
 
+    private void logEpoch(HttpResponse head) {
+        OptionalLong epoch = mDialect.readStoreEpoch(head);
+        if (epoch.isPresent() && epoch.getAsLong() != mEpoch) {
+            mLog.line("store.epoch")
+                    .with("topic", mHandler.topic())
+                    .with("epoch", epoch.getAsLong())
+                    .with("before", mEpoch)
+                    .with("nextOffset", mNextOffset)
+                    .log();
+            mEpoch = epoch.getAsLong();
+        }
+    }
+
     /** Decodes a response; an unreadable one counts as a failed call. */
     private static StoreResponse decode(StoreCall call, int status, byte[] body) {
         try {
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
@@ -117,6 +117,13 @@
                         id, "s", "127.0.0.1:" + portOf(id), new FailureDomain("a"), 4, false, 1));
     }
 
+    @Override
+    public OptionalLong readStoreEpoch(HttpResponse head) {
+        return Stream.ofNullable(head.headers().get("Epoch"))
+                .mapToLong(Long::parseLong)
+                .findFirst();
+    }
+
     @Override
     public StoreCall newestRecords(StoreTopic topic, Optional<String> afterKey) {
         return call(
