Charge the first requests that an instance decided at a rate-limited upstream

Callers saw nothing; found by reading. In a fleet of hundreds whose dispatcher does not reply to some instances, an upstream could get up to the limit by the dispatcher and up to the limit by the others. Cause: starts were charged as differences to the previous report, and an instance that had nothing at the upstream before has none, so its first start was never charged. With a share of 1/300 every start is a first one for most of a minute. Change: the last charged number is kept for each instance while the limit lasts; a lower one is of a restarted instance. A dispatcher that starts while a limit is in force may charge former starts once; a debt is at most four seconds of the limit.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -78,9 +78,12 @@
     /** Requests that this instance decided to send while the upstream was rate-limited. */
     private long mOwnStarts;
 
-    /** The same of the instances for which this one decides, as reported since it heard of them. */
+    /** The same of the instances for which this one decides, as they reported. */
     private long mReportedStarts;
 
+    /** The last number that each other instance reported and that was charged to the bucket. */
+    private final Map<InstanceId, Long> mChargedStarts = new HashMap<>();
+
     UpstreamLoad(ListedUpstream upstream, Optional<EngineSpec> engine) {
         mUpstream = upstream;
         mCache = engine.map(spec -> new PrefixCacheEstimate(spec.memoryTokens()));
@@ -112,6 +115,7 @@
             mBucket = Optional.empty();
             mOwnStarts = 0;
             mReportedStarts = 0;
+            mChargedStarts.clear();
             return;
         }
         BucketRate rate =
@@ -150,14 +154,20 @@
         return mBucket.map(bucket -> bucket.waitMillis(nowMillis)).orElse(0L);
     }
 
-    /** Charges the requests that another instance sent since its previous report. */
+    /**
+     * Charges the requests that another instance decided to send since its previous report. One
+     * that reports fewer than before has restarted.
+     */
     private void chargeStarts(
-            UpstreamUse previous, UpstreamUse use, boolean aggregate, long nowMillis) {
-        long starts = use.starts() - previous.starts();
-        if (starts > 0) {
-            mBucket.ifPresent(bucket -> bucket.take(starts, nowMillis));
-            mReportedStarts += aggregate ? 0 : starts;
+            InstanceId instance, UpstreamUse use, boolean aggregate, long nowMillis) {
+        if (mBucket.isEmpty()) {
+            return;
         }
+        Long charged = mChargedStarts.put(instance, use.starts());
+        boolean continued = charged != null && charged <= use.starts();
+        long starts = use.starts() - (continued ? charged : 0);
+        mBucket.get().take(starts, nowMillis);
+        mReportedStarts += aggregate ? 0 : starts;
     }
 
     /**
@@ -228,9 +238,7 @@
         if (use.isPresent()) {
             PeerUse previous = mPeers.get(instance);
             boolean stalled = previous != null && previous.isStalledAt(use.get());
-            if (previous != null) {
-                chargeStarts(previous.use(), use.get(), aggregate, nowMillis);
-            }
+            chargeStarts(instance, use.get(), aggregate, nowMillis);
             mPeers.put(
                     instance, new PeerUse(use.get(), aggregate, aggregate && !stalled, nowMillis));
         } else {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/RateLimitTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/RateLimitTest.java
@@ -4,10 +4,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.limit.RateLimit;
+import org.magnoliapick.limit.RateLimits;
 
 /** Guards against a fleet that exceeds the rate limits which upstreams name. */
 final class RateLimitTest {
@@ -156,6 +162,40 @@
         }
     }
 
+    /** Guards against a dispatcher that misses what an instance decided before its first report. */
+    @Test
+    void chargesAllRequestsThatOtherInstancesDecided() {
+        RateLimits limits = new RateLimits();
+        PoolScheduler pool = Jobs.scheduler(limits, "u");
+        UpstreamId upstream = new UpstreamId("u");
+        limits.record(new RateLimit(upstream, 1, OptionalDouble.of(10), 0), "r", 0);
+        // Eight requests at ten per second.
+        report(pool, "a", 3, 1_000);
+        report(pool, "b", 4, 1_000);
+        report(pool, "a", 4, 1_000);
+        assertThat(starts(pool, 1, 1_300)).isFalse();
+        assertThat(starts(pool, 2, 1_910)).isTrue();
+        // A restarted instance counts anew.
+        report(pool, "a", 1, 2_000);
+        assertThat(starts(pool, 3, 2_050)).isFalse();
+        assertThat(starts(pool, 4, 2_150)).isTrue();
+    }
+
+    private static boolean starts(PoolScheduler pool, long queryId, long nowMillis) {
+        PoolJob job = Jobs.job(queryId, "w", "p", 10, nowMillis);
+        List<PoolAction> actions = pool.submit(job, nowMillis);
+        pool.withdraw(job);
+        return actions.stream().anyMatch(PoolAction.Start.class::isInstance);
+    }
+
+    private static void report(PoolScheduler pool, String instance, long starts, long nowMillis) {
+        UpstreamUse use = new UpstreamUse(new UpstreamId("u"), 0, 0, 0, 0, starts);
+        pool.updatePeer(
+                new InstanceId(instance),
+                new PoolUse("s", List.of(use), Map.of(), 0, OptionalLong.empty(), false),
+                nowMillis);
+    }
+
     private void send(FakeFleet fleet, long fromMillis, long untilMillis, int perSecond) {
         int instances = fleet.instanceCount();
         for (long i = 0; i * 1_000 / perSecond < untilMillis - fromMillis; i++) {
