Split the rate limit of an upstream off its load

Change: UpstreamRate has the token bucket and the requests that count against it; FleetCells.connectedCount the instances that a dispatcher decides for. Behaviour is the same; no test was changed.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/FleetCells.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/FleetCells.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.magnoliapick.lib.FailureDomain;
 
 /**
@@ -19,6 +21,9 @@
      */
     private static final int TARGET_CELL_INSTANCES = 128;
 
+    /** The number of candidates of which one is the dispatcher as a rule. */
+    private static final int CANDIDATES = 2;
+
     private final Map<FailureDomain, Integer> mCells = new HashMap<>();
     private final List<List<String>> mOrders = new ArrayList<>();
 
@@ -56,4 +61,22 @@
         others.remove((int) mCells.get(domain));
         return others;
     }
+
+    /**
+     * Returns for how many instances the dispatcher of a failure domain's cell decides, alone or
+     * together with other dispatchers: those of its cell that it can reach, and all of each other
+     * cell whose dispatcher it can reach.
+     *
+     * @param reachable the instances that it can reach directly, itself included
+     */
+    long connectedCount(FailureDomain domain, Collection<Member> reachable) {
+        Set<String> direct = reachable.stream().map(Member::address).collect(Collectors.toSet());
+        long connected = dispatcherOrder(domain).stream().filter(direct::contains).count();
+        for (List<String> order : otherDispatcherOrders(domain)) {
+            if (order.stream().limit(CANDIDATES).anyMatch(direct::contains)) {
+                connected += order.size();
+            }
+        }
+        return connected;
+    }
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.limit.RateLimitUpdate;
 import org.magnoliapick.limit.RateLimits;
@@ -58,9 +57,6 @@
      */
     private static final int MAX_CANDIDATES = 4;
 
-    /** The number of candidates of another cell of which one is its dispatcher as a rule. */
-    private static final int CELL_CANDIDATES = 2;
-
     /** The time without a message after which a peer other than a seed is removed. */
     private static final long FORGET_AFTER_MILLIS = 60_000;
 
@@ -439,23 +435,11 @@
                 before += each.getKey().compareTo(mSelf.address()) < 0 ? 1 : 0;
             }
         }
-        double decided = isDispatcher ? connectedCount() : 1;
+        double decided =
+                isDispatcher ? mCells.connectedCount(mSelf.domain(), mDirectlyReachable) : 1;
         return new FleetShare(decided / known, isDispatcher, (double) before / known);
     }
 
-    private long connectedCount() {
-        Set<String> direct =
-                mDirectlyReachable.stream().map(Member::address).collect(Collectors.toSet());
-        long connected =
-                mCells.dispatcherOrder(mSelf.domain()).stream().filter(direct::contains).count();
-        for (List<String> order : mCells.otherDispatcherOrders(mSelf.domain())) {
-            if (order.stream().limit(CELL_CANDIDATES).anyMatch(direct::contains)) {
-                connected += order.size();
-            }
-        }
-        return connected;
-    }
-
     /** Returns this instance as other instances know it. */
     public Member self() {
         return mSelf;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
@@ -73,7 +73,7 @@
         mLoads.forEach(
                 (id, load) -> {
                     OptionalDouble limit = mRateLimits.find(id, load.upstream().startedMillis());
-                    load.setRateLimit(limit, mShare, nowMillis);
+                    load.rate().set(limit, mShare, nowMillis);
                     if (limit.isEmpty()) {
                         unlimited.add(id);
                     }
@@ -99,7 +99,8 @@
     /** Returns whether there are upstreams and all of them are rate-limited. */
     boolean isRateLimited() {
         return !mLoads.isEmpty()
-                && mLoads.values().stream().allMatch(load -> load.requestsPerMilli().isPresent());
+                && mLoads.values().stream()
+                        .allMatch(load -> load.rate().requestsPerMilli().isPresent());
     }
 
     /**
@@ -113,7 +114,7 @@
         double tokensPerMilli = 0;
         double requestsPerMilli = 0;
         for (UpstreamLoad load : mLoads.values()) {
-            double limit = load.requestsPerMilli().orElse(Double.POSITIVE_INFINITY);
+            double limit = load.rate().requestsPerMilli().orElse(Double.POSITIVE_INFINITY);
             requestsPerMilli += limit;
             if (engines) {
                 double prefill = load.tokensPerMilli(nowMillis) * PREFILL_TIME_FRACTION;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -49,7 +49,6 @@
     private final Refusals mRefusals;
     private final PromptQuarantine mQuarantine;
     private long mQuarantineVersion;
-
     private ServiceSpec mService;
     private long mLastGrant;
 
@@ -337,7 +336,7 @@
     /** Returns whether an upstream can take any further request now. */
     private boolean hasRoom(UpstreamLoad load, long nowMillis) {
         return load.health().isAvailable(nowMillis)
-                && load.hasToken(nowMillis)
+                && load.rate().hasToken(nowMillis)
                 && (mService.engine().isEmpty()
                         || PlacementPolicy.hasRoom(load, mService.engine().get(), nowMillis));
     }
@@ -407,7 +406,7 @@
                 job,
                 mLoads.all().stream()
                         .filter(each -> isEligible(job, each, nowMillis))
-                        .filter(each -> each.hasToken(nowMillis))
+                        .filter(each -> each.rate().hasToken(nowMillis))
                         .toList());
     }
 
@@ -432,7 +431,7 @@
     private PoolAction start(PoolJob job, ScoredCandidate choice, long nowMillis) {
         UpstreamLoad load = choice.load();
         load.health().recordStart(nowMillis);
-        load.takeToken(nowMillis);
+        load.rate().takeToken(nowMillis);
         Optional<EngineSpec> engine = mService.engine();
         long memoryTokens =
                 engine.isPresent() ? PlacementPolicy.memoryTokens(job, choice.newTokens()) : 0;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -5,10 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.magnoliapick.lib.InstanceId;
-import org.magnoliapick.limit.BucketRate;
-import org.magnoliapick.limit.TokenBucket;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.route.EngineSpec;
@@ -72,17 +69,7 @@
     private boolean mSpeedMeasured;
     private Optional<Totals> mTotals = Optional.empty();
 
-    /** The tokens for further requests; absent unless the upstream is rate-limited. */
-    private Optional<TokenBucket> mBucket = Optional.empty();
-
-    /** Requests that this instance decided to send while the upstream was rate-limited. */
-    private long mOwnStarts;
-
-    /** The same of the instances for which this one decides, as they reported. */
-    private long mReportedStarts;
-
-    /** The last number that each other instance reported and that was charged to the bucket. */
-    private final Map<InstanceId, Long> mChargedStarts = new HashMap<>();
+    private final UpstreamRate mRate = new UpstreamRate();
 
     UpstreamLoad(ListedUpstream upstream, Optional<EngineSpec> engine) {
         mUpstream = upstream;
@@ -104,70 +91,9 @@
         mUpstream = upstream;
     }
 
-    /**
-     * Sets the upstream's rate limit.
-     *
-     * @param perSecond the limit in requests per second; absent if there is none
-     * @param share the part of the fleet that this instance decides for
-     */
-    void setRateLimit(OptionalDouble perSecond, FleetShare share, long nowMillis) {
-        if (perSecond.isEmpty()) {
-            mBucket = Optional.empty();
-            mOwnStarts = 0;
-            mReportedStarts = 0;
-            mChargedStarts.clear();
-            return;
-        }
-        BucketRate rate =
-                new BucketRate(perSecond.getAsDouble(), share.fraction(), !share.dispatcher());
-        mBucket.ifPresentOrElse(
-                bucket -> bucket.setRate(rate, nowMillis),
-                () -> {
-                    double tokens = share.dispatcher() ? 0 : share.position();
-                    mBucket = Optional.of(new TokenBucket(rate, tokens, nowMillis));
-                });
-    }
-
-    /** Returns whether the upstream's rate limit allows another request now. */
-    boolean hasToken(long nowMillis) {
-        return mBucket.isEmpty() || mBucket.get().hasToken(nowMillis);
-    }
-
-    /** Records the decision to send a request there. */
-    void takeToken(long nowMillis) {
-        mBucket.ifPresent(
-                bucket -> {
-                    bucket.take(1, nowMillis);
-                    mOwnStarts++;
-                });
-    }
-
-    /** Returns the rate at which it may get requests per millisecond; absent if not limited. */
-    OptionalDouble requestsPerMilli() {
-        return mBucket.isEmpty()
-                ? OptionalDouble.empty()
-                : OptionalDouble.of(mBucket.get().perMilli());
-    }
-
-    /** Returns the time until its rate limit allows another request, in milliseconds. */
-    private long tokenWaitMillis(long nowMillis) {
-        return mBucket.map(bucket -> bucket.waitMillis(nowMillis)).orElse(0L);
-    }
-
-    /**
-     * Charges the requests that another instance decided to send since its previous report. One
-     * that reports fewer than before has restarted.
-     */
-    private void chargeStarts(
-            InstanceId instance, UpstreamUse use, boolean aggregate, long nowMillis) {
-        if (mBucket.isEmpty()) {
-            return;
-        }
-        Long charged = mChargedStarts.put(instance, use.starts());
-        boolean continued = charged != null && charged <= use.starts();
-        long starts = use.starts() - (continued ? charged : 0);
-        mBucket.get().take(starts, nowMillis);
-        mReportedStarts += aggregate ? 0 : starts;
+    /** Returns the upstream's rate limit and the tokens for further requests. */
+    UpstreamRate rate() {
+        return mRate;
     }
 
     /**
@@ -238,7 +164,7 @@
         if (use.isPresent()) {
             PeerUse previous = mPeers.get(instance);
             boolean stalled = previous != null && previous.isStalledAt(use.get());
-            chargeStarts(instance, use.get(), aggregate, nowMillis);
+            mRate.charge(instance, use.get().starts(), aggregate, nowMillis);
             mPeers.put(
                     instance, new PeerUse(use.get(), aggregate, aggregate && !stalled, nowMillis));
         } else {
@@ -328,7 +254,7 @@
     long firstEventMillis(long newTokens, long nowMillis) {
         double speed = tokensPerMilli(nowMillis);
         double prefillMillis = (prefillTokens(nowMillis) + newTokens) / speed;
-        return FIRST_EVENT_BASE_MILLIS + (long) prefillMillis + tokenWaitMillis(nowMillis);
+        return FIRST_EVENT_BASE_MILLIS + (long) prefillMillis + mRate.waitMillis(nowMillis);
     }
 
     /**
@@ -345,7 +271,7 @@
     }
 
     Optional<UpstreamUse> ownUse() {
-        return mRunning == 0 && mOwnStarts == 0
+        return mRunning == 0 && mRate.ownStarts() == 0
                 ? Optional.empty()
                 : Optional.of(
                         new UpstreamUse(
@@ -354,7 +280,7 @@
                                 mPrefillTokens,
                                 mMemoryTokens,
                                 mSpeedMeasured ? (int) Math.round(mTokensPerMilli) : 0,
-                                mOwnStarts));
+                                mRate.ownStarts()));
     }
 
     /** Returns the use of this instance and of all those that report each change to it. */
@@ -374,7 +300,7 @@
             }
         }
         int speed = (int) Math.round(tokensPerMilli(nowMillis));
-        long starts = mOwnStarts + mReportedStarts;
+        long starts = mRate.aggregateStarts();
         return running == 0 && starts == 0
                 ? Optional.empty()
                 : Optional.of(
