Log responses that name another request

response.crossed tells a refusal with another identifier, or with none, from one of the request in flight; attempt.ended alone says REFUSED for both.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.magnoliapick.errors.ErrorKind;
+import org.magnoliapick.gateway.ResponseHead;
 import org.magnoliapick.gateway.internal.http.HttpConnection;
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.UpstreamId;
@@ -297,6 +298,15 @@
         return mResponse;
     }
 
+    /** Logs a response that names another request than this one, or none. */
+    void logCrossed(int status, ResponseHead head) {
+        withPlacement(logLine("response.crossed"))
+                .with("status", status)
+                .with("names", head.id().orElse(""))
+                .with("notRun", head.notRun())
+                .log();
+    }
+
     /** Records that the response head or an event was received. */
     void responseProgressed() {
         if (mFirstResponseMillis < 0) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -142,6 +142,9 @@
     public boolean onHead(HttpResponse head) {
         ResponseHead parsedHead = mContext.dialect().readResponse(head);
         boolean matchesRequest = parsedHead.id().filter(mRequest.id()::equals).isPresent();
+        if (!matchesRequest) {
+            mRelay.logCrossed(head.status().code(), parsedHead);
+        }
         if (!matchesRequest && !parsedHead.notRun()) {
             return false;
         }
