Take a refusal only for the attempt that it answers

Callers could see: 503 "not run" for a request that its upstream was running, or the request ran at a second upstream, when a faulty upstream wrote an earlier refusal once more on a kept connection.

Cause: three ways in which a refusal was taken for that of the request in flight. (1) One that names another request, or none, was taken, since "not run" stood above the identifier. (2) One that names this request may answer its first attempt: the caller's identifier is forwarded unchanged with each attempt, and the second one at the same upstream took the connection that the first had just given back. (3) A success that also says "not run" was taken for a refusal. Class of fault: evidence that is not tied to the event that it is evidence of.

Change: a response that does not name the request is skipped, whatever it says, and the connection is closed after the request's own response. No two attempts of a request use the same connection (RelayConnections). "Not run" on a success counts as malformed. Why it works: what an upstream writes on a connection can then name the request only if it was sent there, and it was sent there once. The same cause elsewhere: magnoliapick-ports compares the identifier before it reads a refusal, and there each attempt has its own; no change.

Evidence: RepeatedRefusalTest failed in 8 of 9 cases before: crossed refusals were answered with 503 upstream-refused in six of them, a request refused once reached its upstream three times instead of twice while the second attempt ran, and a 200 with "not run" was answered with 503. The ninth, a cut refusal before a response, was refused by the decoder before, too.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ConnectionPool.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ConnectionPool.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -39,14 +40,32 @@
      * @param failed runs if no connection could be established
      */
     public void acquire(long nowMillis, Consumer<HttpConnection> acquired, Runnable failed) {
-        HttpConnection idle = mIdle.pollLast();
-        while (idle != null) {
-            if (idle.isIdle() && idle.isFresh(nowMillis)) {
+        acquire(nowMillis, Set.of(), acquired, failed);
+    }
+
+    /**
+     * Acquires an idle connection that is not excluded, or opens one if there is none.
+     *
+     * @param excluded idle connections that are left to others
+     * @param acquired receives the connection, either at once or when it is established
+     * @param failed runs if no connection could be established
+     */
+    public void acquire(
+            long nowMillis,
+            Set<HttpConnection> excluded,
+            Consumer<HttpConnection> acquired,
+            Runnable failed) {
+        Iterator<HttpConnection> newestFirst = mIdle.descendingIterator();
+        while (newestFirst.hasNext()) {
+            HttpConnection idle = newestFirst.next();
+            if (!idle.isIdle() || !idle.isFresh(nowMillis)) {
+                newestFirst.remove();
+                idle.cancel();
+            } else if (!excluded.contains(idle)) {
+                newestFirst.remove();
                 acquired.accept(idle);
                 return;
             }
-            idle.cancel();
-            idle = mIdle.pollLast();
         }
         mConnector.open(
                 mAddress,
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
@@ -18,7 +18,8 @@
 
 /**
  * A client connection to a server that carries one request at a time. It is reused only after a
- * complete response that is not followed by further bytes. All methods run on the event loop.
+ * complete response that is not followed by further bytes, and not after one to another request.
+ * All methods run on the event loop.
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter {
     /** The idle timeout assumed if the server sends no Keep-Alive timeout, in milliseconds. */
@@ -36,6 +37,9 @@
     /** Whether the response being read is skipped: informational, or not to this request. */
     private boolean mSkipping;
 
+    /** Whether the server sent a response to another request, after which it may send more. */
+    private boolean mCrossed;
+
     private boolean mHeadReceived;
     private boolean mReusable = true;
     private long mIdleLimitMillis = DEFAULT_IDLE_MILLIS;
@@ -137,12 +141,17 @@
             return;
         }
         boolean informational = head.status().code() < 200;
-        if (informational || !mListener.onHead(head)) {
+        if (informational) {
+            mSkipping = true;
+            return;
+        }
+        if (!mListener.onHead(head)) {
             mSkipping = true;
+            mCrossed = true;
             return;
         }
         mHeadReceived = true;
-        mReusable = HttpUtil.isKeepAlive(head);
+        mReusable = HttpUtil.isKeepAlive(head) && !mCrossed;
         parseKeepAlive(head);
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.gateway.ResponseHead;
-import org.magnoliapick.gateway.internal.http.HttpConnection;
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.pool.ListedUpstream;
@@ -34,6 +33,7 @@
     private final HttpRequest mRequestHead;
     private final ByteBuf mRequestBody;
     private final CallerResponse mResponse;
+    private final RelayConnections mConnections;
     private RelayRequest mRequest;
     private RelayAttempts mAttempts;
     private int mRank;
@@ -66,6 +66,7 @@
         mRequestHead = requestHead;
         mRequestBody = requestBody;
         mResponse = response;
+        mConnections = new RelayConnections(pools);
     }
 
     /** Rejects the request before it is submitted to a pool. */
@@ -183,8 +184,7 @@
                 .log();
         UpstreamCall call = new UpstreamCall(mContext, mRequest, this, mTicket.upstream());
         mCall = call;
-        mPools.connections(mTicket.upstream())
-                .acquire(nowMillis, call::onConnected, call::onConnectFailed);
+        mConnections.acquire(mTicket.upstream(), nowMillis, call);
     }
 
     /** Fails the request because the pool refused it. */
@@ -285,9 +285,8 @@
         return mRequestBody.readableBytes();
     }
 
-    /** Gives an idle connection back for reuse by later attempts at the same upstream. */
-    void returnConnection(ListedUpstream upstream, HttpConnection connection) {
-        mPools.connections(upstream).release(connection, mContext.nowMillis());
+    RelayConnections connections() {
+        return mConnections;
     }
 
     RelayAttempts attempts() {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -62,13 +62,14 @@
     void onConnected(HttpConnection connection) {
         if (mEnded) {
             // Cancelled before the connection opened; nothing was sent on it.
-            returnConnection(connection);
+            mRelay.connections().release(mUpstream, connection, mContext.nowMillis());
             return;
         }
         mConnection = connection;
         mStallWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
         if (connection.send(forwardedHead(), mRelay.requestBody(), this)) {
             mSent = true;
+            mRelay.connections().sent(connection);
             mSentMillis = mContext.nowMillis();
             mRelay.attempts().sent(mUpstream.id());
         } else {
@@ -144,14 +145,12 @@
         boolean matchesRequest = parsedHead.id().filter(mRequest.id()::equals).isPresent();
         if (!matchesRequest) {
             mRelay.logCrossed(head.status().code(), parsedHead);
-        }
-        if (!matchesRequest && !parsedHead.notRun()) {
             return false;
         }
         recordRateLimit(head, parsedHead);
         mResponse = head;
         mParsedHead = parsedHead;
-        boolean success = isSuccess(head.status()) && parsedHead.signed();
+        boolean success = isSuccess(head.status()) && parsedHead.signed() && !parsedHead.notRun();
         if (mRequest.route().kind().streamed() && success) {
             mSplitter = new EventSplitter();
             mStallWatch.progressed(mContext.nowMillis());
@@ -233,9 +232,11 @@
     @Override
     public void onComplete() {
         mEnded = true;
-        returnConnection(mConnection);
+        mRelay.connections().release(mUpstream, mConnection, mContext.nowMillis());
         HttpResponseStatus status = mResponse.status();
-        if (mParsedHead.notRun() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+        if (mParsedHead.notRun() && isSuccess(status)) {
+            endAttempt(AttemptEnd.MALFORMED);
+        } else if (mParsedHead.notRun() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
             endAttempt(AttemptEnd.REFUSED);
         } else if (mSplitter != null) {
             completeStream();
@@ -316,8 +317,4 @@
             mBuffered = null;
         }
     }
-
-    private void returnConnection(HttpConnection connection) {
-        mRelay.returnConnection(mUpstream, connection);
-    }
 }
