Write nothing but its continuation into a broken stream

Callers could see: a stream that broke off and was resumed went on with foreign bytes, ended as if it were complete, or, on a kept connection, was followed by events of their next request, since that one's head could not be written inside the open response.

Cause: whether a response continues the stream was decided by its status and signature alone, and two branches did not look at whether the caller already had a part of the answer. A 3xx or 4xx was relayed whole (onComplete, last branch); the encoder refused its head, and the connection was taken for idle afterwards. A signed 2xx of another status or content type, one that began after a gap, and one without any event were relayed or ended the stream. Class of fault: an answer taken for a part of another without proof.

Change: a response to a resume is relayed only if it has the status, Content-Type and Content-Encoding of the head that the caller received (RelayedStream); its events have to go on at the next number while the stream was numbered without a gap (RelayAttempts.mayFollow); and its end counts only if it reached the last event that the caller has. Anything else ends the attempt as failed or malformed, after which the stream is resumed once more, if the route allows it, or the connection is closed without an end mark. Why it works: each way into the caller's stream passes one of these checks, and the branches that answer whole are not reached while mResumed. The same cause elsewhere: errors of the gateway itself close the connection once the head was relayed (Relay.endWithError); the router module passes mHeadRelayed on with each error. No change there.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayAttempts.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayAttempts.java
@@ -1,6 +1,7 @@
 package org.magnoliapick.relay;
 
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.errors.Outcome;
@@ -27,6 +28,9 @@
     private boolean mHeadRelayed;
     private long mLastEvent;
 
+    /** Whether each event that was relayed has the number after that of the one before it. */
+    private boolean mNumberedWithoutGap = true;
+
     /** Creates the state of a request that has not been sent to any upstream. */
     public RelayAttempts(RelayRequest request) {
         mRequest = request;
@@ -49,9 +53,24 @@
 
     /** Records that a complete event was relayed to the caller. */
     public void eventRelayed(long eventId) {
+        mNumberedWithoutGap &= eventId == mLastEvent + 1;
         mLastEvent = eventId;
     }
 
+    /** Records that a complete event without a number was relayed to the caller. */
+    public void unnumberedEventRelayed() {
+        mNumberedWithoutGap = false;
+    }
+
+    /**
+     * Returns whether an event of a resumed stream may be relayed next. If all events up to now
+     * were numbered without a gap, it has to be the next one.
+     */
+    public boolean mayFollow(OptionalLong eventId) {
+        return !mNumberedWithoutGap
+                || (eventId.isPresent() && eventId.getAsLong() == mLastEvent + 1);
+    }
+
     /** Returns the identifier of the last event that the caller received; 0 if none. */
     public long lastEvent() {
         return mLastEvent;
--- a/magnoliapick-core/src/test/java/org/magnoliapick/relay/RelayAttemptsTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/relay/RelayAttemptsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -67,6 +68,27 @@
                 .isEqualTo(new RelayStep.Resume(12));
     }
 
+    @Test
+    void aStreamWithoutGapsGoesOnAtTheNextEventOnly() {
+        RelayAttempts attempts = attempts(RouteKind.STREAM, true);
+        attempts.eventRelayed(1);
+        attempts.eventRelayed(2);
+        assertThat(attempts.mayFollow(OptionalLong.of(3))).isTrue();
+        assertThat(attempts.mayFollow(OptionalLong.of(4))).isFalse();
+        assertThat(attempts.mayFollow(OptionalLong.empty())).isFalse();
+    }
+
+    @Test
+    void aStreamWithGapsOrUnnumberedEventsGoesOnAtAnyEvent() {
+        RelayAttempts gaps = attempts(RouteKind.STREAM, true);
+        gaps.eventRelayed(10);
+        gaps.eventRelayed(20);
+        assertThat(gaps.mayFollow(OptionalLong.of(30))).isTrue();
+        RelayAttempts unnumbered = attempts(RouteKind.STREAM, true);
+        unnumbered.unnumberedEventRelayed();
+        assertThat(unnumbered.mayFollow(OptionalLong.empty())).isTrue();
+    }
+
     @Test
     void abortsAStreamThatIsNotResumable() {
         RelayAttempts attempts = attempts(RouteKind.STREAM, false);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -34,6 +34,7 @@
     private final ByteBuf mRequestBody;
     private final CallerResponse mResponse;
     private final RelayConnections mConnections;
+    private final RelayedStream mStream = new RelayedStream();
     private RelayRequest mRequest;
     private RelayAttempts mAttempts;
     private int mRank;
@@ -285,6 +286,10 @@
         return mRequestBody.readableBytes();
     }
 
+    RelayedStream stream() {
+        return mStream;
+    }
+
     RelayConnections connections() {
         return mConnections;
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -45,6 +45,13 @@
     private ByteBuf mBuffered;
     private EventSplitter mSplitter;
     private boolean mEventReceived;
+
+    /** Whether the caller already has a part of the stream that this attempt goes on with. */
+    private boolean mResumed;
+
+    /** The number of the last event received, relayed or not; 0 if none. */
+    private long mLastReceived;
+
     private StreamWatch mStallWatch;
 
     UpstreamCall(RelayContext context, RelayRequest request, Relay relay, ListedUpstream upstream) {
@@ -66,6 +73,7 @@
             return;
         }
         mConnection = connection;
+        mResumed = mRelay.attempts().isHeadRelayed();
         mStallWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
         if (connection.send(forwardedHead(), mRelay.requestBody(), this)) {
             mSent = true;
@@ -91,9 +99,7 @@
         HttpRequest original = mRelay.requestHead();
         HttpHeaders headers = HopByHopHeaders.copyWithout(original.headers());
         OptionalLong resumeAfter =
-                mRelay.attempts().isHeadRelayed()
-                        ? OptionalLong.of(mRelay.attempts().lastEvent())
-                        : mRequest.resumeAfter();
+                mResumed ? OptionalLong.of(mRelay.attempts().lastEvent()) : mRequest.resumeAfter();
         long remainingMillis =
                 Math.max(1, mRequest.effectiveDeadlineMillis() - mContext.nowMillis());
         mContext.dialect()
@@ -151,7 +157,8 @@
         mResponse = head;
         mParsedHead = parsedHead;
         boolean success = isSuccess(head.status()) && parsedHead.signed() && !parsedHead.notRun();
-        if (mRequest.route().kind().streamed() && success) {
+        boolean continues = !mResumed || mRelay.stream().isContinuedBy(head);
+        if (mRequest.route().kind().streamed() && success && continues) {
             mSplitter = new EventSplitter();
             mStallWatch.progressed(mContext.nowMillis());
         } else {
@@ -202,16 +209,19 @@
             mStallWatch.progressed(mContext.nowMillis());
             mEventReceived = true;
             mRelay.eventReceived();
+            event.id().ifPresent(id -> mLastReceived = id);
             boolean alreadyRelayed =
                     event.id().isPresent()
                             && event.id().getAsLong() <= mRelay.attempts().lastEvent();
-            if (alreadyRelayed) {
+            if (mEnded || alreadyRelayed) {
                 event.bytes().release();
-                continue;
+            } else if (mResumed && !mRelay.attempts().mayFollow(event.id())) {
+                event.bytes().release();
+                mConnection.cancel();
+                onFailure(AttemptEnd.MALFORMED);
+            } else {
+                relayEvent(event);
             }
-            relayHead();
-            event.id().ifPresent(mRelay.attempts()::eventRelayed);
-            mRelay.response().sendChunk(event.bytes());
         }
         if (!mEnded && mSplitter.isEventTooLong()) {
             mConnection.cancel();
@@ -221,9 +231,18 @@
         }
     }
 
+    private void relayEvent(EventSplitter.Event event) {
+        relayHead();
+        event.id()
+                .ifPresentOrElse(
+                        mRelay.attempts()::eventRelayed, mRelay.attempts()::unnumberedEventRelayed);
+        mRelay.response().sendChunk(event.bytes());
+    }
+
     private void relayHead() {
         if (!mRelay.attempts().isHeadRelayed()) {
             mRelay.attempts().headRelayed();
+            mRelay.stream().begin(mResponse);
             mRelay.response()
                     .sendHead(mResponse.status(), HopByHopHeaders.copyWithout(mResponse.headers()));
         }
@@ -240,6 +259,8 @@
             endAttempt(AttemptEnd.REFUSED);
         } else if (mSplitter != null) {
             completeStream();
+        } else if (mResumed) {
+            endAttempt(isSuccess(status) ? AttemptEnd.MALFORMED : AttemptEnd.FAILED);
         } else if (isSuccess(status)) {
             completeBuffered();
         } else if (NOT_RUN_STATUSES.contains(status.code())) {
@@ -280,6 +301,11 @@
             endAttempt(AttemptEnd.CUT);
             return;
         }
+        if (mResumed && mLastReceived != mRelay.attempts().lastEvent()) {
+            // Only a stream that reached the caller's last event shows what follows that.
+            endAttempt(AttemptEnd.MALFORMED);
+            return;
+        }
         relayHead();
         mRelay.response().end();
         mRelay.responseCompleted();
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFixture.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFixture.java
@@ -69,16 +69,21 @@
                             + "/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: "
                             + id
                             + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            try {
-                socket.getInputStream().transferTo(bytes);
-            } catch (IOException e) {
-                bytes.writeBytes("(reset)".getBytes(StandardCharsets.ISO_8859_1));
-            }
-            return bytes.toString(StandardCharsets.ISO_8859_1);
+            return readAll(socket);
         }
     }
 
+    /** Returns all bytes until a connection is closed. */
+    static String readAll(Socket socket) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            socket.getInputStream().transferTo(bytes);
+        } catch (IOException e) {
+            bytes.writeBytes("(reset)".getBytes(StandardCharsets.ISO_8859_1));
+        }
+        return bytes.toString(StandardCharsets.ISO_8859_1);
+    }
+
     /** Returns the identifier of a request as an upstream received it. */
     static String requestId(String request) {
         int start = request.indexOf("Id: ") + 4;
