--- a/magnoliapick-core/src/main/java/org/magnoliapick/route/Route.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/route/Route.java
@@ -49,11 +49,11 @@
      * the first service.
      */
     public Optional<String> serviceFor(String requestId) {
-        int total = services.stream().mapToInt(WeightedService::weight).sum();
+        long total = services.stream().mapToLong(WeightedService::weight).sum();
         if (total <= 0) {
             return services.stream().findFirst().map(WeightedService::service);
         }
-        int point = Math.floorMod(mixedHash(requestId), total);
+        long point = Math.floorMod((long) mixedHash(requestId), total);
         for (WeightedService each : services) {
             point -= each.weight();
             if (point < 0) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
@@ -25,6 +25,9 @@
     /** The idle timeout assumed if the server sends no Keep-Alive timeout, in milliseconds. */
     private static final long DEFAULT_IDLE_MILLIS = 4_000;
 
+    /** The longest idle timeout of a server that is relied on: an hour. */
+    private static final long MAX_IDLE_SECONDS = 3_600;
+
     /** Time before the server's idle timeout when a connection is no longer used, in ms. */
     private static final long IDLE_MARGIN_MILLIS = 500;
 
@@ -164,7 +167,8 @@
             String trimmed = parameter.trim();
             if (trimmed.startsWith("timeout=")) {
                 try {
-                    mIdleLimitMillis = Long.parseLong(trimmed.substring(8).trim()) * 1_000;
+                    long seconds = Long.parseLong(trimmed.substring(8).trim());
+                    mIdleLimitMillis = Math.min(MAX_IDLE_SECONDS, seconds) * 1_000;
                 } catch (NumberFormatException e) {
                     // The server sent no usable timeout.
                     mIdleLimitMillis = DEFAULT_IDLE_MILLIS;
