Follow the store on after a fault of a handler

Callers could see: upstreams that had left, or were never found, and routes of an old configuration, until the instance was started again.

Cause: reading the store is a chain in which each response schedules the next call. A handler that threw ended the chain; the exception was logged by no one, since it passed through the connection's handler. A fault in one record also hid the records after it on the page. Class of fault: a loop whose next round depends on the success of this one.

Change: each step of a follower is guarded. Each record of the list and each version of the configuration is applied by itself; a fault is logged as upstream.fault or config.fault with its offset. Lines on unreadable records show the beginning of the value; a record of the operator that is no configuration is logged as config.skipped. Why it works: every path out of a step either schedules the next one or passes runGuarded, which does; a new run makes sure that there is only one chain. The same cause elsewhere: the tasks at an interval are guarded already (step.fault), datagrams of other instances are decoded and received one by one (peers.unreadable, peers.fault). No change there.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigHandler.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigHandler.java
@@ -73,7 +73,7 @@
     public void applyRecords(List<StoreRecord> records) {
         for (StoreRecord record : records) {
             if (!record.isTombstone()) {
-                parse(record).ifPresent(config -> applyVersion(config, record.offset()));
+                parse(record).ifPresent(config -> applyGuarded(config, record.offset()));
             }
         }
     }
@@ -81,13 +81,34 @@
     /** Parses a record; an unreadable one is logged and must not block the records after it. */
     private Optional<TrafficConfig> parse(StoreRecord record) {
         try {
-            return mDialect.readConfig(record.key(), record.value());
+            Optional<TrafficConfig> config = mDialect.readConfig(record.key(), record.value());
+            if (config.isEmpty()) {
+                mLog.line("config.skipped")
+                        .with("key", record.key())
+                        .with("offset", record.offset())
+                        .with("value", record.excerpt())
+                        .log();
+            }
+            return config;
         } catch (RuntimeException e) {
             mLog.line("config.unreadable").with("offset", record.offset()).with("fault", e).log();
             return Optional.empty();
         }
     }
 
+    /** Applies a version; a fault is logged and must not block the versions after it. */
+    private void applyGuarded(TrafficConfig config, long offset) {
+        try {
+            applyVersion(config, offset);
+        } catch (RuntimeException e) {
+            mLog.line("config.fault")
+                    .with("version", config.version())
+                    .with("offset", offset)
+                    .with("fault", e)
+                    .log();
+        }
+    }
+
     private void applyVersion(TrafficConfig config, long offset) {
         if (config.version() <= mVersion) {
             mLog.line("config.ignored")
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/StoreFollower.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/StoreFollower.java
@@ -58,8 +58,8 @@
     private long mRetryMillis = RETRY_MILLIS;
 
     /**
-     * The number of restarts. Steps and responses of an earlier run are dropped, since they are
-     * about a former epoch.
+     * The number of restarts, after a fault or in a later epoch. Steps and responses of an earlier
+     * run are dropped.
      */
     private int mRun;
 
@@ -96,7 +96,7 @@
 
     /** Starts reading the snapshot. */
     public void start() {
-        readSnapshot(Optional.empty());
+        runGuarded(() -> readSnapshot(Optional.empty()));
     }
 
     /**
@@ -104,14 +104,39 @@
      * are known no longer mean anything.
      */
     public void restart() {
+        beginRun();
+        mRetryMillis = RETRY_MILLIS;
+        runGuarded(
+                () -> {
+                    mHandler.storeRestored();
+                    readSnapshot(Optional.empty());
+                });
+    }
+
+    private void beginRun() {
         mRun++;
         if (mCoveredPoll != null) {
             mCoveredPoll.cancel(false);
             mCoveredPoll = null;
         }
-        mRetryMillis = RETRY_MILLIS;
-        mHandler.storeRestored();
-        readSnapshot(Optional.empty());
+    }
+
+    /**
+     * Runs a step of which a fault must not end the reading: it is logged, and a new snapshot is
+     * read later, which does not depend on how far the step got.
+     */
+    private void runGuarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            mLog.line("store.fault")
+                    .with("topic", mHandler.topic())
+                    .with("nextOffset", mNextOffset)
+                    .with("fault", e)
+                    .log();
+            beginRun();
+            retryLater(() -> readSnapshot(Optional.empty()));
+        }
     }
 
     private void readSnapshot(Optional<String> afterKey) {
@@ -156,7 +181,7 @@
         return mLoop.schedule(
                 () -> {
                     if (run == mRun) {
-                        step.run();
+                        runGuarded(step);
                     }
                 },
                 delayMillis,
@@ -177,7 +202,7 @@
     public void readNow() {
         if (mCoveredPoll != null && mCoveredPoll.cancel(false)) {
             mCoveredPoll = null;
-            readNext();
+            runGuarded(this::readNext);
         }
     }
 
@@ -242,20 +267,27 @@
                 new BufferingHttpClient.Listener() {
                     @Override
                     public void answered(HttpResponse head, byte[] body) {
-                        if (run == mRun && !isOfOtherEpoch(head, onResponse)) {
-                            handle(decode(call, head.status().code(), body), onResponse);
+                        if (run == mRun) {
+                            runGuarded(() -> answer(call, head, body, onResponse));
                         }
                     }
 
                     @Override
                     public void failed(String reason) {
                         if (run == mRun) {
-                            handle(new StoreResponse.Failed(reason), onResponse);
+                            runGuarded(() -> handle(new StoreResponse.Failed(reason), onResponse));
                         }
                     }
                 });
     }
 
+    private void answer(
+            StoreCall call, HttpResponse head, byte[] body, Consumer<StoreResponse> onResponse) {
+        if (!isOfOtherEpoch(head, onResponse)) {
+            handle(decode(call, head.status().code(), body), onResponse);
+        }
+    }
+
     private void handle(StoreResponse response, Consumer<StoreResponse> onResponse) {
         if (response instanceof StoreResponse.Failed failure) {
             markUnavailable(failure.reason());
@@ -317,17 +349,6 @@
         mHandler.storeAvailable();
     }
 
-    /** Learns the epochs that the responses of the store name. */
-    public interface EpochListener {
-        /**
-         * A response named an epoch; restarts all followers if it is a later one than known.
-         *
-         * @param nextOffset the next offset of the topic in the epoch known until now
-         * @return false if a later epoch is known, so that the response is outdated
-         */
-        boolean epochNamed(long epoch, StoreTopic topic, long nextOffset);
-    }
-
     /** Handles the records of a topic and sets how it is read. */
     public interface TopicHandler {
         /** Returns the topic to follow. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/UpstreamListHandler.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/UpstreamListHandler.java
@@ -141,7 +141,22 @@
         }
     }
 
+    /** Applies a record; a fault is logged and does not affect other upstreams. */
     private boolean applyRecord(StoreRecord record, Put put) {
+        try {
+            return applyUnguarded(record, put);
+        } catch (RuntimeException e) {
+            mLog.line("upstream.fault")
+                    .with("upstream", record.key())
+                    .with("offset", record.offset())
+                    .with("fault", e)
+                    .with("value", record.excerpt())
+                    .log();
+            return false;
+        }
+    }
+
+    private boolean applyUnguarded(StoreRecord record, Put put) {
         long nowMillis = mClockMillis.getAsLong();
         if (!isValidId(record.key())) {
             mLog.line("upstream.unreadable").with("offset", record.offset()).log();
@@ -153,9 +168,13 @@
             mLog.line("upstream.ended").with("upstream", id).with("changed", changed).log();
             return changed;
         }
-        Optional<ListedUpstream> upstream = parse(id, record);
+        Optional<ListedUpstream> upstream = mDialect.readUpstream(id, record.value());
         if (upstream.isEmpty()) {
-            mLog.line("upstream.unreadable").with("upstream", id).log();
+            mLog.line("upstream.unreadable")
+                    .with("upstream", id)
+                    .with("offset", record.offset())
+                    .with("value", record.excerpt())
+                    .log();
             return false;
         }
         boolean changed = put.put(upstream.get(), record.offset(), nowMillis);
@@ -173,16 +192,6 @@
         return !key.isBlank() && key.length() <= Identifiers.MAX_LENGTH_CHARS;
     }
 
-    /** Parses a record; an unreadable one is logged and does not affect other upstreams. */
-    private Optional<ListedUpstream> parse(UpstreamId id, StoreRecord record) {
-        try {
-            return mDialect.readUpstream(id, record.value());
-        } catch (RuntimeException e) {
-            mLog.line("upstream.fault").with("upstream", id).with("fault", e).log();
-            return Optional.empty();
-        }
-    }
-
     @Override
     public void storeRestored() {
         mDirectory.listRestored(mClockMillis.getAsLong());
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeStore.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeStore.java
@@ -93,7 +93,7 @@
     }
 
     /** Returns a call to this store. */
-    static StoreCall call(String path) {
+    public static StoreCall call(String path) {
         return new StoreCall() {
             @Override
             public HttpRequest request() {
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/store/TopicHandlersTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/store/TopicHandlersTest.java
@@ -93,6 +93,21 @@
         assertThat(mVersions).containsExactly(4L);
     }
 
+    /** Guards against a version that cannot be applied and hides those after it. */
+    @Test
+    void continuesAfterAVersionThatCannotBeApplied() {
+        ConfigHandler handler =
+                newConfigHandler(
+                        config -> {
+                            if (config.version() == 4) {
+                                throw new IllegalStateException("version 4");
+                            }
+                            mVersions.add(config.version());
+                        });
+        handler.applyRecords(List.of(record("c", 0, (byte) 4), record("d", 1, (byte) 5)));
+        assertThat(mVersions).containsExactly(5L);
+    }
+
     @Test
     void anUnreadableEntryDoesNotAffectOtherUpstreams() {
         Dialect dialect = new ThrowingDialect();
