Drop the events after one that does not continue the stream

An event that ends the attempt may have others behind it in the same packet. They were still counted as progress of the request, which may have another attempt by then, and as proof that its prompt is sound. Such an event, and those after it, now count for nothing. A resumed stream whose events carry no numbers needs one event before its end counts.

BrokenStreamTest has a case with two such events in one packet.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -206,21 +206,17 @@
 
     private void relayEvents(ByteBuf bytes) {
         for (EventSplitter.Event event : mSplitter.feed(bytes)) {
-            mStallWatch.progressed(mContext.nowMillis());
-            mEventReceived = true;
-            mRelay.eventReceived();
-            event.id().ifPresent(id -> mLastReceived = id);
             boolean alreadyRelayed =
                     event.id().isPresent()
                             && event.id().getAsLong() <= mRelay.attempts().lastEvent();
-            if (mEnded || alreadyRelayed) {
+            if (mEnded) {
                 event.bytes().release();
-            } else if (mResumed && !mRelay.attempts().mayFollow(event.id())) {
+            } else if (mResumed && !alreadyRelayed && !mRelay.attempts().mayFollow(event.id())) {
                 event.bytes().release();
                 mConnection.cancel();
                 onFailure(AttemptEnd.MALFORMED);
             } else {
-                relayEvent(event);
+                receiveEvent(event, alreadyRelayed);
             }
         }
         if (!mEnded && mSplitter.isEventTooLong()) {
@@ -231,7 +227,15 @@
         }
     }
 
-    private void relayEvent(EventSplitter.Event event) {
+    private void receiveEvent(EventSplitter.Event event, boolean alreadyRelayed) {
+        mStallWatch.progressed(mContext.nowMillis());
+        mEventReceived = true;
+        event.id().ifPresent(id -> mLastReceived = id);
+        mRelay.eventReceived();
+        if (alreadyRelayed) {
+            event.bytes().release();
+            return;
+        }
         relayHead();
         event.id()
                 .ifPresentOrElse(
@@ -301,7 +305,7 @@
             endAttempt(AttemptEnd.CUT);
             return;
         }
-        if (mResumed && mLastReceived != mRelay.attempts().lastEvent()) {
+        if (mResumed && (!mEventReceived || mLastReceived != mRelay.attempts().lastEvent())) {
             // Only a stream that reached the caller's last event shows what follows that.
             endAttempt(AttemptEnd.MALFORMED);
             return;
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/BrokenStreamTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/BrokenStreamTest.java
@@ -65,6 +65,8 @@
                         + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                 "HTTP/1.1 200 OK\r\nSigned: x\r\nContent-Type: text/event-stream\r\n"
                         + "Content-Length: 14\r\n\r\nid: 3\ndata:c\n\n",
+                "HTTP/1.1 200 OK\r\nSigned: x\r\nContent-Type: text/event-stream\r\n"
+                        + "Content-Length: 28\r\n\r\nid: 3\ndata:c\n\nid: 4\ndata:d\n\n",
                 "HTTP/1.1 200 OK\r\nSigned: x\r\nContent-Type: text/event-stream\r\n"
                         + "Content-Length: 13\r\n\r\ndata: error\n\n"
             })
