--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
@@ -18,12 +18,16 @@
 
 /**
  * A client connection to a server that carries one request at a time. It is reused only after a
- * complete response that is not followed by further bytes. All methods run on the event loop.
+ * complete response that is not followed by further bytes, and not after one to another request.
+ * All methods run on the event loop.
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter {
     /** The idle timeout assumed if the server sends no Keep-Alive timeout, in milliseconds. */
     private static final long DEFAULT_IDLE_MILLIS = 4_000;
 
+    /** The longest idle timeout of a server that is relied on: an hour. */
+    private static final long MAX_IDLE_SECONDS = 3_600;
+
     /** Time before the server's idle timeout when a connection is no longer used, in ms. */
     private static final long IDLE_MARGIN_MILLIS = 500;
 
@@ -36,6 +40,9 @@
     /** Whether the response being read is skipped: informational, or not to this request. */
     private boolean mSkipping;
 
+    /** Whether the server sent a response to another request, after which it may send more. */
+    private boolean mCrossed;
+
     private boolean mHeadReceived;
     private boolean mReusable = true;
     private long mIdleLimitMillis = DEFAULT_IDLE_MILLIS;
@@ -137,12 +144,17 @@
             return;
         }
         boolean informational = head.status().code() < 200;
-        if (informational || !mListener.onHead(head)) {
+        if (informational) {
+            mSkipping = true;
+            return;
+        }
+        if (!mListener.onHead(head)) {
             mSkipping = true;
+            mCrossed = true;
             return;
         }
         mHeadReceived = true;
-        mReusable = HttpUtil.isKeepAlive(head);
+        mReusable = HttpUtil.isKeepAlive(head) && !mCrossed;
         parseKeepAlive(head);
     }
 
@@ -155,7 +167,8 @@
             String trimmed = parameter.trim();
             if (trimmed.startsWith("timeout=")) {
                 try {
-                    mIdleLimitMillis = Long.parseLong(trimmed.substring(8).trim()) * 1_000;
+                    long seconds = Long.parseLong(trimmed.substring(8).trim());
+                    mIdleLimitMillis = Math.min(MAX_IDLE_SECONDS, seconds) * 1_000;
                 } catch (NumberFormatException e) {
                     // The server sent no usable timeout.
                     mIdleLimitMillis = DEFAULT_IDLE_MILLIS;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.magnoliapick.errors.ErrorKind;
-import org.magnoliapick.gateway.internal.http.HttpConnection;
+import org.magnoliapick.gateway.ResponseHead;
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.pool.ListedUpstream;
@@ -33,6 +33,8 @@
     private final HttpRequest mRequestHead;
     private final ByteBuf mRequestBody;
     private final CallerResponse mResponse;
+    private final RelayConnections mConnections;
+    private final RelayedStream mStream = new RelayedStream();
     private RelayRequest mRequest;
     private RelayAttempts mAttempts;
     private int mRank;
@@ -65,6 +67,7 @@
         mRequestHead = requestHead;
         mRequestBody = requestBody;
         mResponse = response;
+        mConnections = new RelayConnections(pools);
     }
 
     /** Rejects the request before it is submitted to a pool. */
@@ -182,8 +185,7 @@
                 .log();
         UpstreamCall call = new UpstreamCall(mContext, mRequest, this, mTicket.upstream());
         mCall = call;
-        mPools.connections(mTicket.upstream())
-                .acquire(nowMillis, call::onConnected, call::onConnectFailed);
+        mConnections.acquire(mTicket.upstream(), nowMillis, call);
     }
 
     /** Fails the request because the pool refused it. */
@@ -284,9 +286,12 @@
         return mRequestBody.readableBytes();
     }
 
-    /** Gives an idle connection back for reuse by later attempts at the same upstream. */
-    void returnConnection(ListedUpstream upstream, HttpConnection connection) {
-        mPools.connections(upstream).release(connection, mContext.nowMillis());
+    RelayedStream stream() {
+        return mStream;
+    }
+
+    RelayConnections connections() {
+        return mConnections;
     }
 
     RelayAttempts attempts() {
@@ -297,6 +302,15 @@
         return mResponse;
     }
 
+    /** Logs a response that names another request than this one, or none. */
+    void logCrossed(int status, ResponseHead head) {
+        withPlacement(logLine("response.crossed"))
+                .with("status", status)
+                .with("names", head.id().orElse(""))
+                .with("notRun", head.notRun())
+                .log();
+    }
+
     /** Records that the response head or an event was received. */
     void responseProgressed() {
         if (mFirstResponseMillis < 0) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -45,6 +45,13 @@
     private ByteBuf mBuffered;
     private EventSplitter mSplitter;
     private boolean mEventReceived;
+
+    /** Whether the caller already has a part of the stream that this attempt goes on with. */
+    private boolean mResumed;
+
+    /** The number of the last event received, relayed or not; 0 if none. */
+    private long mLastReceived;
+
     private StreamWatch mStallWatch;
 
     UpstreamCall(RelayContext context, RelayRequest request, Relay relay, ListedUpstream upstream) {
@@ -62,13 +69,15 @@
     void onConnected(HttpConnection connection) {
         if (mEnded) {
             // Cancelled before the connection opened; nothing was sent on it.
-            returnConnection(connection);
+            mRelay.connections().release(mUpstream, connection, mContext.nowMillis());
             return;
         }
         mConnection = connection;
+        mResumed = mRelay.attempts().isHeadRelayed();
         mStallWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
         if (connection.send(forwardedHead(), mRelay.requestBody(), this)) {
             mSent = true;
+            mRelay.connections().sent(connection);
             mSentMillis = mContext.nowMillis();
             mRelay.attempts().sent(mUpstream.id());
         } else {
@@ -90,9 +99,7 @@
         HttpRequest original = mRelay.requestHead();
         HttpHeaders headers = HopByHopHeaders.copyWithout(original.headers());
         OptionalLong resumeAfter =
-                mRelay.attempts().isHeadRelayed()
-                        ? OptionalLong.of(mRelay.attempts().lastEvent())
-                        : mRequest.resumeAfter();
+                mResumed ? OptionalLong.of(mRelay.attempts().lastEvent()) : mRequest.resumeAfter();
         long remainingMillis =
                 Math.max(1, mRequest.effectiveDeadlineMillis() - mContext.nowMillis());
         mContext.dialect()
@@ -142,14 +149,16 @@
     public boolean onHead(HttpResponse head) {
         ResponseHead parsedHead = mContext.dialect().readResponse(head);
         boolean matchesRequest = parsedHead.id().filter(mRequest.id()::equals).isPresent();
-        if (!matchesRequest && !parsedHead.notRun()) {
+        if (!matchesRequest) {
+            mRelay.logCrossed(head.status().code(), parsedHead);
             return false;
         }
         recordRateLimit(head, parsedHead);
         mResponse = head;
         mParsedHead = parsedHead;
-        boolean success = isSuccess(head.status()) && parsedHead.signed();
-        if (mRequest.route().kind().streamed() && success) {
+        boolean success = isSuccess(head.status()) && parsedHead.signed() && !parsedHead.notRun();
+        boolean continues = !mResumed || mRelay.stream().isContinuedBy(head);
+        if (mRequest.route().kind().streamed() && success && continues) {
             mSplitter = new EventSplitter();
             mStallWatch.progressed(mContext.nowMillis());
         } else {
@@ -197,19 +206,18 @@
 
     private void relayEvents(ByteBuf bytes) {
         for (EventSplitter.Event event : mSplitter.feed(bytes)) {
-            mStallWatch.progressed(mContext.nowMillis());
-            mEventReceived = true;
-            mRelay.eventReceived();
             boolean alreadyRelayed =
                     event.id().isPresent()
                             && event.id().getAsLong() <= mRelay.attempts().lastEvent();
-            if (alreadyRelayed) {
+            if (mEnded) {
                 event.bytes().release();
-                continue;
+            } else if (mResumed && !alreadyRelayed && !mRelay.attempts().mayFollow(event.id())) {
+                event.bytes().release();
+                mConnection.cancel();
+                onFailure(AttemptEnd.MALFORMED);
+            } else {
+                receiveEvent(event, alreadyRelayed);
             }
-            relayHead();
-            event.id().ifPresent(mRelay.attempts()::eventRelayed);
-            mRelay.response().sendChunk(event.bytes());
         }
         if (!mEnded && mSplitter.isEventTooLong()) {
             mConnection.cancel();
@@ -219,9 +227,26 @@
         }
     }
 
+    private void receiveEvent(EventSplitter.Event event, boolean alreadyRelayed) {
+        mStallWatch.progressed(mContext.nowMillis());
+        mEventReceived = true;
+        event.id().ifPresent(id -> mLastReceived = id);
+        mRelay.eventReceived();
+        if (alreadyRelayed) {
+            event.bytes().release();
+            return;
+        }
+        relayHead();
+        event.id()
+                .ifPresentOrElse(
+                        mRelay.attempts()::eventRelayed, mRelay.attempts()::unnumberedEventRelayed);
+        mRelay.response().sendChunk(event.bytes());
+    }
+
     private void relayHead() {
         if (!mRelay.attempts().isHeadRelayed()) {
             mRelay.attempts().headRelayed();
+            mRelay.stream().begin(mResponse);
             mRelay.response()
                     .sendHead(mResponse.status(), HopByHopHeaders.copyWithout(mResponse.headers()));
         }
@@ -230,12 +255,16 @@
     @Override
     public void onComplete() {
         mEnded = true;
-        returnConnection(mConnection);
+        mRelay.connections().release(mUpstream, mConnection, mContext.nowMillis());
         HttpResponseStatus status = mResponse.status();
-        if (mParsedHead.notRun() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+        if (mParsedHead.notRun() && isSuccess(status)) {
+            endAttempt(AttemptEnd.MALFORMED);
+        } else if (mParsedHead.notRun() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
             endAttempt(AttemptEnd.REFUSED);
         } else if (mSplitter != null) {
             completeStream();
+        } else if (mResumed) {
+            endAttempt(isSuccess(status) ? AttemptEnd.MALFORMED : AttemptEnd.FAILED);
         } else if (isSuccess(status)) {
             completeBuffered();
         } else if (NOT_RUN_STATUSES.contains(status.code())) {
@@ -276,6 +305,11 @@
             endAttempt(AttemptEnd.CUT);
             return;
         }
+        if (mResumed && (!mEventReceived || mLastReceived != mRelay.attempts().lastEvent())) {
+            // Only a stream that reached the caller's last event shows what follows that.
+            endAttempt(AttemptEnd.MALFORMED);
+            return;
+        }
         relayHead();
         mRelay.response().end();
         mRelay.responseCompleted();
@@ -313,8 +347,4 @@
             mBuffered = null;
         }
     }
-
-    private void returnConnection(HttpConnection connection) {
-        mRelay.returnConnection(mUpstream, connection);
-    }
 }
