--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
@@ -1,5 +1,7 @@
 package org.magnoliapick.member;
 
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.Optional;
 import org.magnoliapick.pool.InstanceReport;
 
@@ -38,6 +40,8 @@
     private long mMembersSentMillis = NEVER;
     private final UpdateExchange mSuspects = new UpdateExchange();
     private final UpdateExchange mRateLimits = new UpdateExchange();
+    private final Map<UpdateSubject, UpdateExchange> mExchanges =
+            new EnumMap<>(UpdateSubject.class);
     private long mFirstUnansweredMillis;
     private int mUnanswered;
     private long mSuspectUntilMillis = NEVER;
@@ -46,6 +50,9 @@
     Peer(boolean seed, long nowMillis) {
         mSeed = seed;
         mCreatedMillis = nowMillis;
+        for (UpdateSubject subject : UpdateSubject.values()) {
+            mExchanges.put(subject, new UpdateExchange());
+        }
     }
 
     void setMember(Member member) {
@@ -60,9 +67,12 @@
         if (mReport.filter(each -> each.startedMillis() != report.startedMillis()).isPresent()) {
             mSuspects.received(0);
             mRateLimits.received(0);
+            mExchanges.values().forEach(each -> each.received(0));
         }
         setMember(report.sender());
         mReport = Optional.of(report);
+        mExchanges.forEach(
+                (subject, each) -> each.known(report.knownVersions().getOrDefault(subject, 0L)));
         mReplyDue |= report.wantsReply();
         messageReceived(nowMillis);
         return true;
@@ -109,6 +119,11 @@
         return mRateLimits;
     }
 
+    /** Returns the state of the exchange on a subject. */
+    UpdateExchange exchange(UpdateSubject subject) {
+        return mExchanges.get(subject);
+    }
+
     /** Returns the version up to which the instance knows this one's suspected prompt parts. */
     long knownSuspectsVersion() {
         return mReport.map(InstanceReport::suspectsVersion).orElse(0L);
--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -357,6 +358,21 @@
         return peer == null ? StorePosition.UNKNOWN : peer.storePosition();
     }
 
+    /** Returns the exchange of updates on a subject with an instance; empty if it is unknown. */
+    public Optional<UpdateExchange> exchange(String address, UpdateSubject subject) {
+        return Optional.ofNullable(mPeers.get(address)).map(peer -> peer.exchange(subject));
+    }
+
+    /** Returns the versions of an instance's updates that were received last. */
+    public Map<UpdateSubject, Long> receivedVersions(String address) {
+        Map<UpdateSubject, Long> versions = new EnumMap<>(UpdateSubject.class);
+        for (UpdateSubject subject : UpdateSubject.values()) {
+            exchange(address, subject)
+                    .ifPresent(each -> versions.put(subject, each.receivedVersion()));
+        }
+        return versions;
+    }
+
     /** Records the version of an instance's suspected prompt parts that was received. */
     public void suspectsReceived(String address, long version) {
         Optional.ofNullable(mPeers.get(address))
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstancePacket.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstancePacket.java
@@ -19,6 +19,7 @@
  * @param storeUpdate what the sender recently read from the store, if the receiver needs it
  * @param suspects the suspected prompt parts that changed at the sender, if the receiver lacks them
  * @param rateLimits the rate limits that changed at the sender, if the receiver lacks them
+ * @param notices what upstreams stated about themselves, as far as the receiver lacks it
  * @param messages messages about single requests
  */
 public record InstancePacket(
@@ -29,6 +30,7 @@
         Optional<StoreUpdate> storeUpdate,
         Optional<SuspectUpdate> suspects,
         Optional<RateLimitUpdate> rateLimits,
+        UpstreamNotices notices,
         List<PoolMessage> messages) {
     /** Copies the collections. */
     public InstancePacket {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstanceReport.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstanceReport.java
@@ -1,8 +1,10 @@
 package org.magnoliapick.pool;
 
 import java.util.List;
+import java.util.Map;
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.StorePosition;
+import org.magnoliapick.member.UpdateSubject;
 
 /**
  * A report from one instance to another on its use of upstreams and on the members it knows.
@@ -19,6 +21,8 @@
  * @param suspectsVersion the version up to which the sender knows the receiver's suspected prompt
  *     parts
  * @param limitsVersion the version up to which the sender knows the receiver's rate limits
+ * @param knownVersions the versions up to which the sender knows the receiver's updates on other
+ *     subjects
  * @param members the instances from which the sender receives messages itself; empty if the
  *     receiver knows them
  */
@@ -33,10 +37,12 @@
         StorePosition storePosition,
         long suspectsVersion,
         long limitsVersion,
+        Map<UpdateSubject, Long> knownVersions,
         List<Member> members) {
-    /** Copies the lists. */
+    /** Copies the collections. */
     public InstanceReport {
         pools = List.copyOf(pools);
+        knownVersions = Map.copyOf(knownVersions);
         members = List.copyOf(members);
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/ListedUpstream.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/ListedUpstream.java
@@ -2,6 +2,7 @@
 
 import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.lib.UpstreamIncarnation;
 
 /**
  * An upstream's entry in the list of upstreams, which the upstream writes itself.
@@ -22,6 +23,11 @@
         int slots,
         boolean leaving,
         long startedMillis) {
+    /** Returns which incarnation of which upstream it describes. */
+    public UpstreamIncarnation incarnation() {
+        return new UpstreamIncarnation(id, startedMillis);
+    }
+
     /** Returns whether the other entry describes the same incarnation of the same upstream. */
     public boolean sameIncarnation(ListedUpstream other) {
         return id.equals(other.id) && startedMillis == other.startedMillis;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -51,6 +51,7 @@
     private long mQuarantineVersion;
     private ServiceSpec mService;
     private long mLastGrant;
+    private boolean mAllLeaving;
 
     /**
      * Creates a scheduler without upstreams.
@@ -81,6 +82,11 @@
         mLoads.setUpstreams(upstreams, mService.engine(), nowMillis);
     }
 
+    /** Sets whether upstreams are listed and all of them are leaving. */
+    public void setAllLeaving(boolean allLeaving) {
+        mAllLeaving = allLeaving;
+    }
+
     /** Sets the part of the fleet for which this instance decides. */
     public void setShare(FleetShare share, long nowMillis) {
         mLoads.setShare(share, nowMillis);
@@ -288,6 +294,7 @@
         actions.addAll(
                 mRefusals.refuseLate(
                         lateCause(),
+                        mAllLeaving,
                         job -> firstEventMillis(job, nowMillis),
                         throughput(nowMillis),
                         nowMillis));
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Refusals.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Refusals.java
@@ -43,12 +43,14 @@
      * Removes and refuses the waiting requests that will be late.
      *
      * @param cause the reason why they cannot be served
+     * @param atOnce whether waiting is of no use, not even for a short time
      * @param firstEventMillis estimates the time from now to a request's first event, in
      *     milliseconds
      * @param throughput what all upstreams can do together
      */
     List<PoolAction> refuseLate(
             PoolCause cause,
+            boolean atOnce,
             ToLongFunction<PoolJob> firstEventMillis,
             Throughput throughput,
             long nowMillis) {
@@ -64,7 +66,7 @@
         while (order.hasNext()) {
             WaitingJob entry = order.next();
             long waitMillis = waitMillis(tokensBefore, requestsBefore, throughput, nowMillis);
-            if (isLate(entry, waitMillis, firstEventMillis, nowMillis)) {
+            if (isLate(entry, atOnce, waitMillis, firstEventMillis, nowMillis)) {
                 refusals.add(refuse(entry.job(), cause, throughput, nowMillis));
             } else {
                 tokensBefore += entry.job().prompt().promptTokens();
@@ -77,11 +79,12 @@
 
     private static boolean isLate(
             WaitingJob entry,
+            boolean atOnce,
             long waitMillis,
             ToLongFunction<PoolJob> firstEventMillis,
             long nowMillis) {
         PoolJob job = entry.job();
-        long minWaitMillis = (long) (job.objectiveMillis() * MIN_WAIT_FRACTION);
+        long minWaitMillis = atOnce ? 0 : (long) (job.objectiveMillis() * MIN_WAIT_FRACTION);
         if (job.answerStarted() || nowMillis - job.submittedMillis() < minWaitMillis) {
             return false;
         }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamDirectory.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamDirectory.java
@@ -14,6 +14,9 @@
  * upstream could not renew it; it is kept until its upstream has had time to list itself again.
  * Entries are ordered by their offset in the list's log, so an outdated page changes nothing.
  *
+ * <p>An upstream that stated in a response that it is leaving gets no new requests either, whatever
+ * the list says.
+ *
  * <p>After the list was restored from a copy, offsets start anew and the copy may list upstreams as
  * they were before. It does not bring back an incarnation that was leaving or removed, since it is
  * older than that; an upstream that still runs appends its entry again.
@@ -32,9 +35,15 @@
     private static final long NO_OFFSET = -1;
 
     private final Map<UpstreamId, Entry> mEntries = new HashMap<>();
+    private final LeavingUpstreams mLeaving = new LeavingUpstreams();
     private boolean mListUnavailable;
     private long mGraceEndMillis = Long.MIN_VALUE;
 
+    /** Returns the upstreams that stated in responses that they are leaving. */
+    public LeavingUpstreams leaving() {
+        return mLeaving;
+    }
+
     /** Records that the list could not be read. */
     public void listUnavailable(long nowMillis) {
         mListUnavailable = true;
@@ -84,7 +93,7 @@
         if (offset < entry.mOffset) {
             return false;
         }
-        Optional<ListedUpstream> before = entry.usable();
+        Optional<ListedUpstream> before = usable(entry);
         boolean leaving =
                 upstream.leaving()
                         || (entry.mUpstream != null
@@ -94,7 +103,7 @@
         entry.mUpstream = leaving ? upstream.asLeaving() : upstream;
         entry.mLapsed = false;
         entry.mRemoved = false;
-        return !before.equals(entry.usable());
+        return !before.equals(usable(entry));
     }
 
     /**
@@ -111,7 +120,7 @@
             entry.mLapsed = !entry.mRemoved;
             return false;
         }
-        return entry.remove(nowMillis);
+        return remove(entry, nowMillis);
     }
 
     /**
@@ -122,9 +131,13 @@
         boolean changed = false;
         for (Entry entry : mEntries.values()) {
             if (entry.mLapsed && !mListUnavailable && nowMillis >= mGraceEndMillis) {
-                changed |= entry.remove(nowMillis);
+                changed |= remove(entry, nowMillis);
+            }
+            if (entry.mUpstream != null && !entry.mRemoved) {
+                mLeaving.recordListed(entry.mUpstream, nowMillis);
             }
         }
+        mLeaving.tick(nowMillis);
         mEntries.values()
                 .removeIf(
                         entry ->
@@ -151,7 +164,7 @@
     public List<ListedUpstream> usable(String service) {
         List<ListedUpstream> usable = new ArrayList<>();
         for (Entry entry : mEntries.values()) {
-            entry.usable().filter(each -> each.service().equals(service)).ifPresent(usable::add);
+            usable(entry).filter(each -> each.service().equals(service)).ifPresent(usable::add);
         }
         return usable;
     }
@@ -159,7 +172,42 @@
     /** Returns all upstreams that may get new requests. */
     public List<ListedUpstream> usable() {
         List<ListedUpstream> usable = new ArrayList<>();
-        mEntries.values().forEach(entry -> entry.usable().ifPresent(usable::add));
+        mEntries.values().forEach(entry -> usable(entry).ifPresent(usable::add));
+        return usable;
+    }
+
+    /** Returns whether this incarnation of an upstream may get new requests. */
+    public boolean isUsable(ListedUpstream upstream) {
+        return Optional.ofNullable(mEntries.get(upstream.id()))
+                .flatMap(this::usable)
+                .filter(upstream::sameIncarnation)
+                .isPresent();
+    }
+
+    /** Returns whether upstreams of a service are listed and all of them are leaving. */
+    public boolean areAllLeaving(String service) {
+        boolean anyListed = false;
+        for (Entry entry : mEntries.values()) {
+            if (!entry.mRemoved
+                    && entry.mUpstream != null
+                    && entry.mUpstream.service().equals(service)) {
+                anyListed = true;
+                if (usable(entry).isPresent()) {
+                    return false;
+                }
+            }
+        }
+        return anyListed;
+    }
+
+    private Optional<ListedUpstream> usable(Entry entry) {
+        return entry.usable().filter(each -> !mLeaving.contains(each));
+    }
+
+    /** Marks an entry as removed; returns whether it was usable. */
+    private boolean remove(Entry entry, long nowMillis) {
+        boolean usable = usable(entry).isPresent();
+        entry.remove(nowMillis);
         return usable;
     }
 
@@ -173,6 +221,7 @@
         private boolean mRemoved;
         private long mRemovedMillis;
 
+        /** Returns the upstream if it may get new requests according to the list. */
         private Optional<ListedUpstream> usable() {
             return mRemoved || mUpstream == null || mUpstream.leaving()
                     ? Optional.empty()
@@ -186,15 +235,12 @@
                             || (mRemoved && mUpstream.sameIncarnation(upstream)));
         }
 
-        /** Marks the entry as removed; returns whether it was usable. */
-        private boolean remove(long nowMillis) {
-            boolean usable = usable().isPresent();
+        private void remove(long nowMillis) {
             if (!mRemoved) {
                 mRemovedMillis = nowMillis;
             }
             mRemoved = true;
             mLapsed = false;
-            return usable;
         }
     }
 }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/member/PeerTableTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/member/PeerTableTest.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
@@ -87,6 +88,7 @@
                         StorePosition.UNKNOWN,
                         0,
                         0,
+                        sender.receivedVersions(to),
                         pending.isReply() ? sender.membersToSend(to, mNowMillis) : List.of());
         boolean connected = mCutOff.contains(from) == mCutOff.contains(to);
         if (mTables.containsKey(to) && !mDown.contains(to) && connected) {
@@ -145,6 +147,11 @@
     }
 
     private static InstanceReport report(int number, long started, long sequence) {
+        return report(number, started, sequence, Map.of());
+    }
+
+    private static InstanceReport report(
+            int number, long started, long sequence, Map<UpdateSubject, Long> knownVersions) {
         return new InstanceReport(
                 member(number),
                 started,
@@ -156,9 +163,38 @@
                 StorePosition.UNKNOWN,
                 0,
                 0,
+                knownVersions,
                 List.of());
     }
 
+    private static Optional<Long> send(PeerTable from, String to, long nowMillis) {
+        return from.exchange(to, UpdateSubject.LEAVING)
+                .orElseThrow()
+                .toSend(known -> known < 5 ? Optional.of(known) : Optional.empty(), nowMillis);
+    }
+
+    @Test
+    void sendsUpdatesUntilTheOtherInstanceReportsThatItReceivedThem() {
+        PeerTable table = new PeerTable(member(0), List.of(), 0);
+        String to = member(1).address();
+        assertThat(table.exchange(to, UpdateSubject.LEAVING)).isEmpty();
+        table.acceptReport(report(1, 1, 1, Map.of()), 0);
+        assertThat(send(table, to, 0)).contains(0L);
+        // Sent just now.
+        assertThat(send(table, to, 50)).isEmpty();
+        assertThat(send(table, to, 100)).contains(0L);
+        table.acceptReport(report(1, 1, 2, Map.of(UpdateSubject.LEAVING, 3L)), 200);
+        assertThat(send(table, to, 200)).contains(3L);
+        table.acceptReport(report(1, 1, 3, Map.of(UpdateSubject.LEAVING, 5L)), 300);
+        assertThat(send(table, to, 300)).isEmpty();
+        table.exchange(to, UpdateSubject.LEAVING).orElseThrow().received(7);
+        assertThat(table.receivedVersions(to)).containsEntry(UpdateSubject.LEAVING, 7L);
+        // After its restart everything is sent again in both directions.
+        table.acceptReport(report(1, 2, 1, Map.of()), 400);
+        assertThat(table.receivedVersions(to)).containsEntry(UpdateSubject.LEAVING, 0L);
+        assertThat(send(table, to, 400)).contains(0L);
+    }
+
     @Test
     void fleetAgreesOnOneStrongDispatcherWithinASecond() {
         fleet(95);
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeEngine.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeEngine.java
@@ -1,16 +1,20 @@
 package org.magnoliapick.pool;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalDouble;
 
 /** An engine of a fleet in virtual time. */
 final class FakeEngine {
     private final ListedUpstream mUpstream;
     private final List<FakeFleet.Request> mRequests = new ArrayList<>();
-    private final List<Long> mArrivalMillis = new ArrayList<>();
+    private final List<Arrival> mArrivals = new ArrayList<>();
+    private final Map<Integer, Long> mStatedMillis = new HashMap<>();
     private OptionalDouble mRateLimit = OptionalDouble.empty();
     private boolean mRunning = true;
+    private boolean mLeaving;
 
     FakeEngine(ListedUpstream upstream) {
         mUpstream = upstream;
@@ -27,14 +31,22 @@
 
     void arrive(FakeFleet.Request request, long nowMillis) {
         mRequests.add(request);
-        mArrivalMillis.add(nowMillis);
+        mArrivals.add(new Arrival(request, nowMillis));
     }
 
     /** Returns when requests arrived. */
     List<Long> arrivalMillis() {
-        return mArrivalMillis;
+        return mArrivals.stream().map(Arrival::atMillis).toList();
     }
 
+    /** Returns the requests that arrived. */
+    List<Arrival> arrivals() {
+        return mArrivals;
+    }
+
+    /** The arrival of a request. */
+    record Arrival(FakeFleet.Request request, long atMillis) {}
+
     /** Makes it name a rate limit in each response, or none. */
     void limitRate(OptionalDouble perSecond) {
         mRateLimit = perSecond;
@@ -44,6 +56,27 @@
         return mRateLimit;
     }
 
+    /** Makes it state in each response that it is leaving. */
+    void leave() {
+        mLeaving = true;
+    }
+
+    /** Records that an instance receives the head of a response. */
+    void respond(int instance, long nowMillis) {
+        if (mLeaving) {
+            mStatedMillis.putIfAbsent(instance, nowMillis);
+        }
+    }
+
+    /** Returns when each instance received the first statement that it is leaving. */
+    Map<Integer, Long> statedMillis() {
+        return mStatedMillis;
+    }
+
+    boolean isLeaving() {
+        return mLeaving;
+    }
+
     boolean isRunning() {
         return mRunning;
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
-import org.magnoliapick.limit.RateLimit;
 import org.magnoliapick.quarantine.Quarantine;
 import org.magnoliapick.relay.FleetRetryBudget;
 import org.magnoliapick.relay.PromptPart;
@@ -132,6 +131,11 @@
                 .find(upstream.id(), upstream.startedMillis());
     }
 
+    /** Returns whether an instance knows that an engine is leaving. */
+    boolean knowsLeaving(int instance, FakeEngine engine) {
+        return mInstances.get(instance).mKnowledge.leaving().contains(engine.upstream());
+    }
+
     /** Returns one of the engines, by the order in which they were added. */
     FakeEngine engine(int number) {
         return List.copyOf(mEngines.values()).get(number);
@@ -163,9 +167,7 @@
     }
 
     private void listEngines() {
-        List<ListedUpstream> listed =
-                mEngines.values().stream().map(each -> each.upstream()).toList();
-        mInstances.forEach(each -> each.mPool.scheduler().setUpstreams(listed, mTime.nowMillis()));
+        mInstances.forEach(Instance::listEngines);
     }
 
     private void crash(FakeEngine engine) {
@@ -210,6 +212,17 @@
             mId = new InstanceId("instance-" + number);
         }
 
+        /** Sets the engines that may get new requests as far as the instance knows. */
+        private void listEngines() {
+            List<ListedUpstream> usable =
+                    mEngines.values().stream()
+                            .map(FakeEngine::upstream)
+                            .filter(each -> !mKnowledge.leaving().contains(each))
+                            .toList();
+            mPool.scheduler().setUpstreams(usable, mTime.nowMillis());
+            mPool.scheduler().setAllLeaving(usable.isEmpty() && !mEngines.isEmpty());
+        }
+
         private Instance cellDispatcher() {
             return mInstances.get(mNumber - mNumber % mCellSize);
         }
@@ -259,7 +272,10 @@
             if (mRandom.nextInt(10) == 0) {
                 return;
             }
-            mKnowledge.sendTo(to.mKnowledge, mId.value());
+            mKnowledge.sendTo(to.mKnowledge, mId.value(), mTime.nowMillis());
+            if (!to.mKnowledge.leaving().takeChanges().isEmpty()) {
+                to.listEngines();
+            }
             if (to.cellDispatcher() == to) {
                 PoolUse use =
                         cellDispatcher() == this
@@ -324,6 +340,11 @@
             mAttempts = new RelayAttempts(mRequest);
         }
 
+        /** Returns the number of the instance that it was sent to. */
+        int instance() {
+            return mInstance.mNumber;
+        }
+
         /** Returns when the request arrived. */
         long arrivedMillis() {
             return mRequest.arrivedMillis();
@@ -382,15 +403,7 @@
             mTicket = ticket;
             mEventReceived = false;
             if (isQuarantined()) {
-                mInstance.execute(
-                        mInstance.mPool.localActions(
-                                mInstance
-                                        .mPool
-                                        .scheduler()
-                                        .endAttempt(
-                                                ticket,
-                                                Optional.of(AttemptEnd.CANCELLED),
-                                                mTime.nowMillis())));
+                release(Optional.of(AttemptEnd.CANCELLED));
                 return;
             }
             FakeEngine engine = mEngines.get(ticket.upstream().id());
@@ -421,21 +434,12 @@
                 return;
             }
             mEventReceived = true;
-            mInstance
-                    .mKnowledge
-                    .rateLimits()
-                    .record(
-                            new RateLimit(
-                                    engine.upstream().id(),
-                                    engine.upstream().startedMillis(),
-                                    engine.rateLimit(),
-                                    mTime.nowMillis()),
-                            mRequest.id(),
-                            mSentMillis.get(mSentMillis.size() - 1));
-            mInstance
-                    .mKnowledge
-                    .quarantine()
-                    .recordAnswer("s", mRequest.prompt(), mTime.nowMillis());
+            long sentMillis = mSentMillis.get(mSentMillis.size() - 1);
+            engine.respond(mInstance.mNumber, mTime.nowMillis());
+            if (mInstance.mKnowledge.recordAnswer(
+                    engine, mRequest, sentMillis, mTime.nowMillis())) {
+                mInstance.listEngines();
+            }
             mAttempts.headRelayed();
             mInstance.mPool.scheduler().recordEvent(mTicket, mTime.nowMillis());
             mTime.after(ANSWER_MILLIS, () -> completeAnswer(engine));
@@ -449,21 +453,15 @@
         }
 
         private void ended(Optional<AttemptEnd> end) {
-            Ticket ticket = mTicket;
-            mTicket = null;
-            mInstance.execute(
-                    mInstance.mPool.localActions(
-                            mInstance
-                                    .mPool
-                                    .scheduler()
-                                    .endAttempt(ticket, end, mTime.nowMillis())));
+            ListedUpstream upstream = mTicket.upstream();
+            release(end);
             if (end.isPresent()) {
                 boolean crashed = end.get() == AttemptEnd.CUT && !mEventReceived;
                 if (crashed) {
-                    recordCrash(ticket.upstream(), mTime.nowMillis());
+                    recordCrash(upstream, mTime.nowMillis());
                 }
                 RelayStep step =
-                        crashed && !mayRetry()
+                        crashed && !mInstance.mKnowledge.mayRetry(mRequest)
                                 ? mAttempts.lastStep(end.get())
                                 : mAttempts.nextStep(
                                         end.get(), mInstance.mBudget, mTime.nowMillis());
@@ -473,27 +471,19 @@
             }
         }
 
-        private boolean mayRetry() {
-            return mInstance
-                    .mKnowledge
-                    .quarantine()
-                    .mayRetry("s", mRequest.prompt(), mRequest.id());
+        private void release(Optional<AttemptEnd> end) {
+            Ticket ticket = mTicket;
+            mTicket = null;
+            PoolScheduler scheduler = mInstance.mPool.scheduler();
+            mInstance.execute(
+                    mInstance.mPool.localActions(
+                            scheduler.endAttempt(ticket, end, mTime.nowMillis())));
         }
 
         private void recordCrash(ListedUpstream upstream, long crashedMillis) {
             mTime.after(
                     CONFIRM_MILLIS,
-                    () ->
-                            mInstance
-                                    .mKnowledge
-                                    .quarantine()
-                                    .recordCrash(
-                                            "s",
-                                            mRequest.prompt(),
-                                            mRequest.id(),
-                                            upstream.id(),
-                                            upstream.startedMillis(),
-                                            crashedMillis));
+                    () -> mInstance.mKnowledge.recordCrash(mRequest, upstream, crashedMillis));
         }
     }
 }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
@@ -2,13 +2,17 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.magnoliapick.limit.RateLimit;
 import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.quarantine.PromptQuarantine;
+import org.magnoliapick.relay.RelayRequest;
 
 /** What an instance of a fleet in virtual time learns from others, and up to which version. */
 final class FakeKnowledge {
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final RateLimits mRateLimits = new RateLimits();
+    private final LeavingUpstreams mLeaving = new LeavingUpstreams();
+    private final Map<FakeKnowledge, Long> mReceivedLeaving = new HashMap<>();
     private final Map<FakeKnowledge, Long> mReceivedSuspects = new HashMap<>();
     private final Map<FakeKnowledge, Long> mReceivedLimits = new HashMap<>();
 
@@ -20,8 +24,47 @@
         return mRateLimits;
     }
 
+    LeavingUpstreams leaving() {
+        return mLeaving;
+    }
+
+    /**
+     * Records the answer of an engine to a request; returns whether the engine stated something
+     * that was unknown.
+     */
+    boolean recordAnswer(FakeEngine engine, RelayRequest request, long sentMillis, long nowMillis) {
+        ListedUpstream upstream = engine.upstream();
+        mRateLimits.record(
+                new RateLimit(
+                        upstream.id(), upstream.startedMillis(), engine.rateLimit(), nowMillis),
+                request.id(),
+                sentMillis);
+        mQuarantine.recordAnswer("s", request.prompt(), nowMillis);
+        return engine.isLeaving() && mLeaving.record(upstream, request.id(), nowMillis);
+    }
+
+    void recordCrash(RelayRequest request, ListedUpstream upstream, long crashedMillis) {
+        mQuarantine.recordCrash(
+                "s",
+                request.prompt(),
+                request.id(),
+                upstream.id(),
+                upstream.startedMillis(),
+                crashedMillis);
+    }
+
+    boolean mayRetry(RelayRequest request) {
+        return mQuarantine.mayRetry("s", request.prompt(), request.id());
+    }
+
     /** Sends what another instance lacks. */
-    void sendTo(FakeKnowledge to, String name) {
+    void sendTo(FakeKnowledge to, String name, long nowMillis) {
+        mLeaving.updateFor(to.mReceivedLeaving.getOrDefault(this, 0L))
+                .ifPresent(
+                        update -> {
+                            to.mLeaving.applyUpdate(update, name, nowMillis);
+                            to.mReceivedLeaving.put(this, update.version());
+                        });
         mQuarantine
                 .updateFor(to.mReceivedSuspects.getOrDefault(this, 0L))
                 .ifPresent(
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/UpstreamDirectoryTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/UpstreamDirectoryTest.java
@@ -27,6 +27,41 @@
         assertThat(mDirectory.usable("s")).hasSize(1);
     }
 
+    /** Guards against a list that brings back an upstream which stated that it is leaving. */
+    @Test
+    void keepsAnUpstreamUnusableThatStatedThatItIsLeaving() {
+        mDirectory.put(upstream(false, 1), 0, 0);
+        assertThat(mDirectory.leaving().record(upstream(false, 1), "r", 10)).isTrue();
+        assertThat(mDirectory.usable("s")).isEmpty();
+        assertThat(mDirectory.isUsable(upstream(false, 1))).isFalse();
+        assertThat(mDirectory.areAllLeaving("s")).isTrue();
+        assertThat(mDirectory.put(upstream(false, 1), 5, 20)).isFalse();
+        mDirectory.listRestored(1_000);
+        assertThat(mDirectory.putFromSnapshot(upstream(false, 1), 1, 1_010)).isFalse();
+        mDirectory.retainAll(Set.of(), 2, 5_000);
+        assertThat(mDirectory.areAllLeaving("s")).isFalse();
+        mDirectory.put(upstream(false, 1), 3, 5_010);
+        assertThat(mDirectory.usable()).isEmpty();
+        assertThat(mDirectory.put(upstream(false, 2), 4, 6_000)).isTrue();
+        assertThat(mDirectory.usable("s")).hasSize(1);
+        assertThat(mDirectory.isUsable(upstream(false, 1))).isFalse();
+    }
+
+    @Test
+    void remembersThatAListedUpstreamIsLeaving() {
+        mDirectory.put(upstream(false, 1), 0, 0);
+        mDirectory.leaving().record(upstream(false, 1), "r", 10);
+        for (long nowMillis = 0; nowMillis < 2_000_000; nowMillis += 100_000) {
+            mDirectory.removeLapsed(nowMillis);
+        }
+        assertThat(mDirectory.usable()).isEmpty();
+        mDirectory.remove(ID, 1, 2_000_000);
+        mDirectory.removeLapsed(2_500_000);
+        assertThat(mDirectory.leaving().count()).isEqualTo(1);
+        mDirectory.removeLapsed(2_700_000);
+        assertThat(mDirectory.leaving().count()).isZero();
+    }
+
     @Test
     void ignoresAnOutdatedPage() {
         mDirectory.put(upstream(true, 1), 5, 0);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/ResponseHead.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/ResponseHead.java
@@ -11,6 +11,11 @@
  * @param signed whether the response carries the upstream's signature
  * @param rateLimit the requests per second that the upstream takes from all instances together, if
  *     it names a limit
+ * @param leaving whether the upstream states that it is leaving
  */
 public record ResponseHead(
-        Optional<String> id, boolean notRun, boolean signed, OptionalDouble rateLimit) {}
+        Optional<String> id,
+        boolean notRun,
+        boolean signed,
+        OptionalDouble rateLimit,
+        boolean leaving) {}
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -212,6 +212,7 @@
                 quarantine.quarantinedCount(mClockMillis.getAsLong()));
         RelayCounters.appendMetric(
                 text, "magnoliapick_upstreams_rate_limited", mContext.rateLimits().limitedCount());
+        mRelays.statements().writeMetrics(text);
         return new ControlServer.Page(true, text.toString());
     }
 
@@ -239,6 +240,7 @@
                     mPools.setShare(mPeers.share(), mClockMillis.getAsLong());
                     mRelays.quarantineTick(mClockMillis.getAsLong());
                     mRelays.rateLimitTick(mClockMillis.getAsLong());
+                    mRelays.statements().tick(mClockMillis.getAsLong());
                     // The retry budget is divided among all live instances, this one included.
                     mContext.updateFleetSize(mPeers.liveCount() + 1);
                 });
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/NoticeExchange.java
@@ -0,0 +1,44 @@
+package org.magnoliapick.gateway.internal.peer;
+
+import java.util.Optional;
+import org.magnoliapick.gateway.internal.relay.Pools;
+import org.magnoliapick.member.PeerTable;
+import org.magnoliapick.member.PendingReport;
+import org.magnoliapick.member.UpdateExchange;
+import org.magnoliapick.member.UpdateSubject;
+import org.magnoliapick.pool.InstancePacket;
+import org.magnoliapick.pool.UpstreamNotices;
+
+/** Exchanges with other instances what upstreams stated about themselves. */
+final class NoticeExchange {
+    private final PeerTable mTable;
+    private final Pools mPools;
+
+    NoticeExchange(PeerTable table, Pools pools) {
+        mTable = table;
+        mPools = pools;
+    }
+
+    /** Returns what the receiver of a report lacks. */
+    UpstreamNotices toSend(PendingReport target, long nowMillis) {
+        return new UpstreamNotices(
+                exchange(target.address(), UpdateSubject.LEAVING)
+                        .flatMap(each -> each.toSend(mPools.leaving()::updateFor, nowMillis)));
+    }
+
+    /** Applies what another instance sent. */
+    void receive(InstancePacket packet, long nowMillis) {
+        packet.notices()
+                .leaving()
+                .ifPresent(
+                        update -> {
+                            mPools.applyLeaving(update, packet.from().value(), nowMillis);
+                            exchange(packet.address(), UpdateSubject.LEAVING)
+                                    .ifPresent(each -> each.received(update.version()));
+                        });
+    }
+
+    private Optional<UpdateExchange> exchange(String address, UpdateSubject subject) {
+        return mTable.exchange(address, subject);
+    }
+}
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -35,6 +35,7 @@
 import org.magnoliapick.pool.PoolMessage;
 import org.magnoliapick.pool.PoolUse;
 import org.magnoliapick.pool.ServicePool;
+import org.magnoliapick.pool.UpstreamNotices;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.rpc.UsePacketCodec;
 
@@ -69,6 +70,7 @@
     private final PromptQuarantine mQuarantine;
     private final RateLimits mRateLimits;
     private final StorePeers mStorePeers;
+    private final NoticeExchange mNotices;
     private final long mStartedMillis;
     private InstanceId mDispatcher;
     private long mLastTickMillis;
@@ -120,6 +122,7 @@
                         settings.peerAddress().toString(),
                         settings.milliCores());
         mTable = new PeerTable(self, seeds, mStartedMillis);
+        mNotices = new NoticeExchange(mTable, pools);
     }
 
     /**
@@ -323,6 +326,8 @@
                                 each -> mTable.suspectsToSend(address, mQuarantine, nowMillis)),
                         target.flatMap(
                                 each -> mTable.rateLimitsToSend(address, mRateLimits, nowMillis)),
+                        target.map(each -> mNotices.toSend(each, nowMillis))
+                                .orElse(UpstreamNotices.NONE),
                         messages);
         mChannel.write(
                 new DatagramPacket(
@@ -355,6 +360,7 @@
                 mStoreRelay.position(),
                 mTable.receivedSuspectsVersion(target.address()),
                 mTable.receivedRateLimitsVersion(target.address()),
+                mTable.receivedVersions(target.address()),
                 target.isReply() ? mTable.membersToSend(target.address(), nowMillis) : List.of());
     }
 
@@ -394,6 +400,7 @@
                             mRateLimits.applyUpdate(update, packet.from().value());
                             mTable.rateLimitsReceived(packet.address(), update.version());
                         });
+        mNotices.receive(packet, nowMillis);
         mPools.receive(packet, reportIsNew, nowMillis);
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -17,6 +17,8 @@
 import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.pool.FleetShare;
 import org.magnoliapick.pool.InstancePacket;
+import org.magnoliapick.pool.LeavingUpdate;
+import org.magnoliapick.pool.LeavingUpstreams;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.pool.PoolAction;
 import org.magnoliapick.pool.PoolJob;
@@ -87,8 +89,7 @@
      * Applies a change of the upstream directory and closes connections to upstreams now unusable.
      */
     public void upstreamsChanged(long nowMillis) {
-        mPools.forEach(
-                (name, pool) -> pool.scheduler().setUpstreams(mDirectory.usable(name), nowMillis));
+        mPools.forEach((name, pool) -> setUpstreams(name, pool.scheduler(), nowMillis));
         Map<UpstreamId, ListedUpstream> usable = new HashMap<>();
         mDirectory.usable().forEach(each -> usable.put(each.id(), each));
         mConnections
@@ -106,6 +107,40 @@
         tick(nowMillis);
     }
 
+    private void setUpstreams(String service, PoolScheduler scheduler, long nowMillis) {
+        scheduler.setUpstreams(mDirectory.usable(service), nowMillis);
+        scheduler.setAllLeaving(mDirectory.areAllLeaving(service));
+    }
+
+    /** Returns the upstreams that stated in responses that they are leaving. */
+    public LeavingUpstreams leaving() {
+        return mDirectory.leaving();
+    }
+
+    /** Records that a response of an upstream stated that it is leaving. */
+    void recordLeaving(ListedUpstream upstream, String request, long nowMillis) {
+        if (mDirectory.leaving().record(upstream, request, nowMillis)) {
+            mDirty = true;
+            upstreamsChanged(nowMillis);
+        }
+    }
+
+    /**
+     * Applies what another instance knows of leaving upstreams.
+     *
+     * @param from the name of the instance
+     */
+    public void applyLeaving(LeavingUpdate update, String from, long nowMillis) {
+        if (mDirectory.leaving().applyUpdate(update, from, nowMillis)) {
+            upstreamsChanged(nowMillis);
+        }
+    }
+
+    /** Returns whether a request that was placed at an upstream may still be sent there. */
+    boolean mayBeSent(ListedUpstream upstream) {
+        return mDirectory.isUsable(upstream);
+    }
+
     /** Sets the part of the fleet for which this instance decides. */
     public void setShare(FleetShare share, long nowMillis) {
         mShare = share;
@@ -311,7 +346,7 @@
      * @param crashed runs if it has crashed
      */
     public void checkCrash(ListedUpstream upstream, LongSupplier clockMillis, Runnable crashed) {
-        if (mDirectory.usable(upstream.service()).stream().anyMatch(upstream::sameIncarnation)) {
+        if (mDirectory.isUsable(upstream)) {
             connections(upstream).checkRefused(clockMillis, crashed);
         }
     }
@@ -326,7 +361,7 @@
                     PoolScheduler scheduler =
                             new PoolScheduler(spec, mSettings, mQuarantine, mRateLimits);
                     scheduler.setShare(mShare, nowMillis);
-                    scheduler.setUpstreams(mDirectory.usable(name), nowMillis);
+                    setUpstreams(name, scheduler, nowMillis);
                     return new ServicePool(name, scheduler);
                 });
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -91,10 +91,15 @@
                                 this::onTimeout,
                                 Math.max(0, remainingMillis),
                                 TimeUnit.MILLISECONDS);
-        submitToPool();
+        submitToPool(mContext.nowMillis());
     }
 
-    private void submitToPool() {
+    /**
+     * Submits the request to its pool.
+     *
+     * @param sinceMillis since when it has needed an upstream
+     */
+    private void submitToPool(long sinceMillis) {
         long nowMillis = mContext.nowMillis();
         Optional<Quarantine> quarantine = findQuarantine(nowMillis);
         if (quarantine.isPresent()) {
@@ -110,7 +115,7 @@
                         mAttempts.isHeadRelayed(),
                         mRank,
                         mRelays.nextQueryNumber(),
-                        nowMillis);
+                        sinceMillis);
         mTicket = null;
         mCall = null;
         mRelays.addPending(mJob, this);
@@ -186,6 +191,22 @@
                 .acquire(nowMillis, call::onConnected, call::onConnectFailed);
     }
 
+    /** Returns whether the request may still be sent to the upstream that the pool chose. */
+    boolean mayBeSent(ListedUpstream upstream) {
+        return mPools.mayBeSent(upstream);
+    }
+
+    /** Has another upstream chosen, because the first no longer takes requests. */
+    void placeAgain() {
+        withPlacement(logLine("request.not-sent")).log();
+        releaseTicket(Optional.of(AttemptEnd.CANCELLED));
+        submitToPool(mJob.submittedMillis());
+    }
+
+    UpstreamStatements statements() {
+        return mRelays.statements();
+    }
+
     /** Fails the request because the pool refused it. */
     void poolRefused(PoolAction.Refuse refuse) {
         ErrorKind kind = mAttempts.reportableKind(refuse.cause().errorKind());
@@ -370,11 +391,11 @@
     void execute(RelayStep step) {
         if (step instanceof RelayStep.Retry) {
             mContext.counters().countRetry();
-            submitToPool();
+            submitToPool(mContext.nowMillis());
         } else if (step instanceof RelayStep.Resume resume) {
             logLine("request.resumed").with("afterEvent", resume.afterEvent()).log();
             mContext.counters().countResume();
-            submitToPool();
+            submitToPool(mContext.nowMillis());
         } else if (step instanceof RelayStep.Fail fail) {
             failRequest(fail.kind());
             mResponse.sendError(fail.kind(), retryAfterMillis(fail.kind()));
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -44,6 +44,7 @@
     private final CallerWaitEstimate mCallerWaitEstimate = new CallerWaitEstimate();
     private Pools mPools;
     private QuarantineMonitor mQuarantineMonitor;
+    private UpstreamStatements mStatements;
     private long mLastQueryNumber;
     private Optional<StopPlan> mStopPlan = Optional.empty();
     private BooleanSupplier mStartingBehind = () -> false;
@@ -57,6 +58,7 @@
     public void setPools(Pools pools) {
         mPools = pools;
         mQuarantineMonitor = new QuarantineMonitor(mContext, pools);
+        mStatements = new UpstreamStatements(mContext, pools);
     }
 
     /** Executes a pool's decision on a waiting request. */
@@ -197,6 +199,11 @@
         }
     }
 
+    /** Returns what upstreams stated about themselves in responses. */
+    public UpstreamStatements statements() {
+        return mStatements;
+    }
+
     QuarantineMonitor quarantineMonitor() {
         return mQuarantineMonitor;
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -65,6 +65,12 @@
             returnConnection(connection);
             return;
         }
+        if (!mRelay.mayBeSent(mUpstream)) {
+            mEnded = true;
+            returnConnection(connection);
+            mRelay.placeAgain();
+            return;
+        }
         mConnection = connection;
         mStallWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
         if (connection.send(forwardedHead(), mRelay.requestBody(), this)) {
@@ -146,6 +152,7 @@
             return false;
         }
         recordRateLimit(head, parsedHead);
+        mRelay.statements().record(mUpstream, head.status(), parsedHead, mRequest.id());
         mResponse = head;
         mParsedHead = parsedHead;
         boolean success = isSuccess(head.status()) && parsedHead.signed();
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamStatements.java
@@ -0,0 +1,53 @@
+package org.magnoliapick.gateway.internal.relay;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.magnoliapick.gateway.ResponseHead;
+import org.magnoliapick.pool.LeavingChange;
+import org.magnoliapick.pool.ListedUpstream;
+
+/** Records what upstreams state about themselves in the heads of responses, and logs it. */
+public final class UpstreamStatements {
+    private final RelayContext mContext;
+    private final Pools mPools;
+
+    UpstreamStatements(RelayContext context, Pools pools) {
+        mContext = context;
+        mPools = pools;
+    }
+
+    /**
+     * Records the statements in the head of a response, unless it may be another server's that was
+     * assigned the upstream's address, or a response to another attempt.
+     *
+     * @param request the request of the attempt
+     */
+    void record(
+            ListedUpstream upstream, HttpResponseStatus status, ResponseHead head, String request) {
+        if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)
+                || head.id().filter(each -> !each.equals(request)).isPresent()) {
+            return;
+        }
+        if (head.leaving()) {
+            mPools.recordLeaving(upstream, request, mContext.nowMillis());
+        }
+    }
+
+    /** Logs what changed. */
+    public void tick(long nowMillis) {
+        for (LeavingChange change : mPools.leaving().takeChanges()) {
+            mContext.log()
+                    .line(change.logName())
+                    .with("upstream", change.upstream().incarnation().upstream())
+                    .with("startedMillis", change.upstream().incarnation().startedMillis())
+                    .with("evidence", change.evidence())
+                    .with("ageMillis", nowMillis - change.upstream().seenMillis())
+                    .log();
+        }
+    }
+
+    /** Appends the metrics as text. */
+    public void writeMetrics(StringBuilder text) {
+        RelayCounters.appendMetric(
+                text, "magnoliapick_upstreams_leaving", mPools.leaving().count());
+    }
+}
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
@@ -70,7 +70,8 @@
                 head.headers().contains("Signed"),
                 Stream.ofNullable(head.headers().get("Rate-Limit"))
                         .mapToDouble(Double::parseDouble)
-                        .findFirst());
+                        .findFirst(),
+                head.headers().contains("Leaving"));
     }
 
     @Override
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/peer/PeerSocketTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/peer/PeerSocketTest.java
@@ -32,6 +32,7 @@
 import org.magnoliapick.pool.InstanceReport;
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.UpstreamDirectory;
+import org.magnoliapick.pool.UpstreamNotices;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.rpc.UsePacketCodec;
 
@@ -116,6 +117,7 @@
                         StorePosition.UNKNOWN,
                         0,
                         0,
+                        Map.of(),
                         known);
         InstancePacket packet =
                 new InstancePacket(
@@ -126,6 +128,7 @@
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty(),
+                        UpstreamNotices.NONE,
                         List.of());
         return UsePacketCodec.encode(packet, CLOCK.getAsLong());
     }
--- a/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
+++ b/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
@@ -29,9 +29,7 @@
     private static final String PROMPT_QUARANTINED = "prompt.quarantined";
 
     /** Reasons that several kinds of lines may name and that have a text of their own. */
-    private static final Set<String> REASONS = Set.of("quarantined", "rate-limited");
-
-    private static final String RATE_LINES = "upstream.rate-";
+    private static final Set<String> REASONS = Set.of("quarantined", "rate-limited", "no-upstream");
 
     /** The ends of a request that have a cause to be told. */
     private static final Set<String> FAILED =
@@ -64,7 +62,9 @@
         tellCause(invocation, story.get(story.size() - 1), files);
         tellBeliefs(invocation, story, files);
         tellQuarantines(invocation, story, files);
-        tellRateLimits(invocation, story, files);
+        for (Statement statement : Statement.values()) {
+            tellStatements(invocation, statement, story, files);
+        }
         return ExitCode.OK;
     }
 
@@ -179,28 +179,28 @@
     }
 
     /**
-     * Tells the rate limits that were in force at the request's last line: of the upstreams that it
-     * was sent to, or of all if they were the reason to refuse it. Of several instances' lines the
-     * last one is told.
+     * Tells the statements of upstreams that were in force at the request's last line: of the
+     * upstreams that it was sent to, or of all if they were the reason to refuse it. Of several
+     * instances' lines the last one is told.
      */
-    private static void tellRateLimits(
-            Invocation invocation, List<LogLine> story, List<String> files) {
+    private static void tellStatements(
+            Invocation invocation, Statement statement, List<LogLine> story, List<String> files) {
         LogLine last = story.get(story.size() - 1);
-        boolean all = last.text("cause").equals("rate-limited");
+        boolean all = last.text("cause").equals(statement.mRefusalCause);
         Set<String> upstreams =
                 story.stream().map(line -> line.text("upstream")).collect(Collectors.toSet());
         Map<String, LogLine> lastByUpstream = new TreeMap<>();
         LogLine.read(
                         files,
-                        text -> text.contains(RATE_LINES),
+                        text -> text.contains(statement.mPrefix),
                         line ->
-                                line.kind().startsWith(RATE_LINES)
+                                line.kind().startsWith(statement.mPrefix)
                                         && line.atMillis() <= last.atMillis()
                                         && (all || upstreams.contains(line.text("upstream"))))
                 .forEach(line -> lastByUpstream.put(line.text("upstream"), line));
         long fromMillis = story.get(0).atMillis();
         lastByUpstream.values().stream()
-                .filter(line -> line.kind().equals("upstream.rate-limited"))
+                .filter(line -> line.kind().equals(statement.mInForce))
                 .forEach(line -> invocation.print(line.told(fromMillis)));
     }
 
@@ -220,9 +220,31 @@
     private static boolean isChange(
             LogLine line, Set<String> upstreams, long fromMillis, long untilMillis) {
         return line.kind().startsWith(UPSTREAM)
-                && !line.kind().startsWith(RATE_LINES)
+                && Stream.of(Statement.values())
+                        .noneMatch(each -> line.kind().startsWith(each.mPrefix))
                 && upstreams.contains(line.text("upstream"))
                 && line.atMillis() >= fromMillis - AROUND_MILLIS
                 && line.atMillis() <= untilMillis + AROUND_MILLIS;
     }
+
+    /** What upstreams state about themselves. */
+    private enum Statement {
+        RATE_LIMIT("upstream.rate-", "upstream.rate-limited", "rate-limited"),
+        LEAVING("upstream.leaving", "upstream.leaving", "no-upstream");
+
+        /** The prefix of the kinds of its lines. */
+        private final String mPrefix;
+
+        /** The kind of the line that begins it. */
+        private final String mInForce;
+
+        /** The cause of refusals that it may be the reason for. */
+        private final String mRefusalCause;
+
+        Statement(String prefix, String inForce, String refusalCause) {
+            mPrefix = prefix;
+            mInForce = inForce;
+            mRefusalCause = refusalCause;
+        }
+    }
 }
--- a/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
+++ b/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
@@ -315,6 +315,26 @@
                 .doesNotContain("upstream=v");
     }
 
+    @Test
+    void tellsWhichUpstreamsWereLeaving() throws IOException {
+        Path file = mDirectory.resolve("gateway.log");
+        Files.writeString(
+                file,
+                "{\"atMillis\":10,\"kind\":\"upstream.leaving\",\"upstream\":\"u\","
+                        + "\"evidence\":\"request r\"}\n"
+                        + "{\"atMillis\":11,\"kind\":\"upstream.leaving\","
+                        + "\"upstream\":\"v\",\"evidence\":\"request s\"}\n"
+                        + "{\"atMillis\":20,\"kind\":\"upstream.leaving-forgotten\","
+                        + "\"upstream\":\"v\",\"evidence\":\"not listed\"}\n"
+                        + "{\"atMillis\":5000,\"kind\":\"request.refused\","
+                        + "\"request\":\"ab\",\"cause\":\"no-upstream\"}\n");
+        assertThat(run("logs", "explain", "ab", file.toString())).isZero();
+        assertThat(mOut.toString())
+                .contains("Cause: no upstream of its service took requests")
+                .contains("-4990 ms  upstream.leaving  upstream=u  evidence=request r")
+                .doesNotContain("upstream=v");
+    }
+
     @Test
     void tellsThatTheInstanceOfARequestWasKilled() throws IOException {
         Path file = mDirectory.resolve("all.log");
--- /dev/null
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/NoticeCodec.java
@@ -0,0 +1,73 @@
+package org.magnoliapick.rpc;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.lib.UpstreamIncarnation;
+import org.magnoliapick.member.UpdateSubject;
+import org.magnoliapick.pool.LeavingUpdate;
+import org.magnoliapick.pool.LeavingUpstream;
+import org.magnoliapick.pool.UpstreamNotices;
+import org.magnoliapick.rpc.gen.UseLeaving;
+import org.magnoliapick.rpc.gen.UseLeavingUpstream;
+import org.magnoliapick.rpc.gen.UsePacket;
+import org.magnoliapick.rpc.gen.UseReport;
+
+/** Turns what upstreams stated about themselves into messages and back; times travel as ages. */
+final class NoticeCodec {
+    private NoticeCodec() {}
+
+    static void write(UpstreamNotices notices, UsePacket message, long nowMillis) {
+        notices.leaving().ifPresent(each -> message.setLeaving(leaving(each, nowMillis)));
+    }
+
+    static UpstreamNotices read(UsePacket message, long nowMillis) {
+        return new UpstreamNotices(
+                message.isSetLeaving()
+                        ? Optional.of(leaving(message.getLeaving(), nowMillis))
+                        : Optional.empty());
+    }
+
+    static void writeVersions(Map<UpdateSubject, Long> versions, UseReport message) {
+        Optional.ofNullable(versions.get(UpdateSubject.LEAVING))
+                .ifPresent(message::setLeavingVersion);
+    }
+
+    static Map<UpdateSubject, Long> readVersions(UseReport message) {
+        Map<UpdateSubject, Long> versions = new EnumMap<>(UpdateSubject.class);
+        if (message.isSetLeavingVersion()) {
+            versions.put(UpdateSubject.LEAVING, message.getLeavingVersion());
+        }
+        return versions;
+    }
+
+    private static UseLeaving leaving(LeavingUpdate update, long nowMillis) {
+        UseLeaving message = new UseLeaving(update.version());
+        for (LeavingUpstream each : update.upstreams()) {
+            message.addToUpstreams(
+                    new UseLeavingUpstream(
+                            each.incarnation().upstream().value(),
+                            each.incarnation().startedMillis(),
+                            nowMillis - each.seenMillis()));
+        }
+        return message;
+    }
+
+    private static LeavingUpdate leaving(UseLeaving message, long nowMillis) {
+        List<LeavingUpstream> upstreams = new ArrayList<>();
+        if (message.isSetUpstreams()) {
+            for (UseLeavingUpstream each : message.getUpstreams()) {
+                upstreams.add(
+                        new LeavingUpstream(
+                                new UpstreamIncarnation(
+                                        new UpstreamId(each.getUpstream()),
+                                        each.getStartedMillis()),
+                                nowMillis - each.getAgeMillis()));
+            }
+        }
+        return new LeavingUpdate(message.getVersion(), upstreams);
+    }
+}
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
@@ -46,6 +46,7 @@
         message.setConfigVersion(report.storePosition().configVersion());
         message.setSuspectsVersion(report.suspectsVersion());
         message.setLimitsVersion(report.limitsVersion());
+        NoticeCodec.writeVersions(report.knownVersions(), message);
         if (report.wantsReply()) {
             message.setWantsReply(true);
         }
@@ -163,6 +164,7 @@
                 storePosition(message),
                 message.getSuspectsVersion(),
                 message.getLimitsVersion(),
+                NoticeCodec.readVersions(message),
                 members);
     }
 
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
@@ -41,6 +41,7 @@
                 .ifPresent(each -> message.setSuspects(SuspectCodec.update(each, nowMillis)));
         packet.rateLimits()
                 .ifPresent(each -> message.setLimits(RateLimitCodec.update(each, nowMillis)));
+        NoticeCodec.write(packet.notices(), message, nowMillis);
         if (!packet.acknowledgedGrants().isEmpty()) {
             message.setGrantsTaken(packet.acknowledgedGrants());
         }
@@ -107,6 +108,7 @@
                 message.isSetLimits()
                         ? Optional.of(RateLimitCodec.update(message.getLimits(), nowMillis))
                         : Optional.empty(),
+                NoticeCodec.read(message, nowMillis),
                 messages);
     }
 
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
@@ -23,6 +23,7 @@
   private static final org.apache.thrift.protocol.TField NEWS_FIELD_DESC = new org.apache.thrift.protocol.TField("news", org.apache.thrift.protocol.TType.STRUCT, (short)8);
   private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.STRUCT, (short)9);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.STRUCT, (short)10);
+  private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.STRUCT, (short)30);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UsePacketStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UsePacketTupleSchemeFactory();
@@ -37,6 +38,7 @@
   public @org.apache.thrift.annotation.Nullable UseStoreNews news; // optional
   public @org.apache.thrift.annotation.Nullable UseSuspects suspects; // optional
   public @org.apache.thrift.annotation.Nullable UseRateLimits limits; // optional
+  public @org.apache.thrift.annotation.Nullable UseLeaving leaving; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -49,7 +51,8 @@
     WITHDRAWALS((short)7, "withdrawals"),
     NEWS((short)8, "news"),
     SUSPECTS((short)9, "suspects"),
-    LIMITS((short)10, "limits");
+    LIMITS((short)10, "limits"),
+    LEAVING((short)30, "leaving");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -85,6 +88,8 @@
           return SUSPECTS;
         case 10: // LIMITS
           return LIMITS;
+        case 30: // LEAVING
+          return LEAVING;
         default:
           return null;
       }
@@ -128,7 +133,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.REPORT,_Fields.GRANTS_TAKEN,_Fields.ASKS,_Fields.DECISIONS,_Fields.WITHDRAWALS,_Fields.NEWS,_Fields.SUSPECTS,_Fields.LIMITS};
+  private static final _Fields optionals[] = {_Fields.REPORT,_Fields.GRANTS_TAKEN,_Fields.ASKS,_Fields.DECISIONS,_Fields.WITHDRAWALS,_Fields.NEWS,_Fields.SUSPECTS,_Fields.LIMITS,_Fields.LEAVING};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -157,6 +162,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseSuspects.class)));
     tmpMap.put(_Fields.LIMITS, new org.apache.thrift.meta_data.FieldMetaData("limits", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseRateLimits.class)));
+    tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseLeaving.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UsePacket.class, metaDataMap);
   }
@@ -220,6 +227,9 @@
     if (other.isSetLimits()) {
       this.limits = new UseRateLimits(other.limits);
     }
+    if (other.isSetLeaving()) {
+      this.leaving = new UseLeaving(other.leaving);
+    }
   }
 
   @Override
@@ -239,6 +249,7 @@
     this.news = null;
     this.suspects = null;
     this.limits = null;
+    this.leaving = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -550,6 +561,31 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public UseLeaving getLeaving() {
+    return this.leaving;
+  }
+
+  public UsePacket setLeaving(@org.apache.thrift.annotation.Nullable UseLeaving leaving) {
+    this.leaving = leaving;
+    return this;
+  }
+
+  public void unsetLeaving() {
+    this.leaving = null;
+  }
+
+  /** Returns true if field leaving is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaving() {
+    return this.leaving != null;
+  }
+
+  public void setLeavingIsSet(boolean value) {
+    if (!value) {
+      this.leaving = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -633,6 +669,14 @@
       }
       break;
 
+    case LEAVING:
+      if (value == null) {
+        unsetLeaving();
+      } else {
+        setLeaving((UseLeaving)value);
+      }
+      break;
+
     }
   }
 
@@ -670,6 +714,9 @@
     case LIMITS:
       return getLimits();
 
+    case LEAVING:
+      return getLeaving();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -702,6 +749,8 @@
       return isSetSuspects();
     case LIMITS:
       return isSetLimits();
+    case LEAVING:
+      return isSetLeaving();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -809,6 +858,15 @@
         return false;
     }
 
+    boolean this_present_leaving = true && this.isSetLeaving();
+    boolean that_present_leaving = true && that.isSetLeaving();
+    if (this_present_leaving || that_present_leaving) {
+      if (!(this_present_leaving && that_present_leaving))
+        return false;
+      if (!this.leaving.equals(that.leaving))
+        return false;
+    }
+
     return true;
   }
 
@@ -856,6 +914,10 @@
     if (isSetLimits())
       hashCode = hashCode * 8191 + limits.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetLeaving()) ? 131071 : 524287);
+    if (isSetLeaving())
+      hashCode = hashCode * 8191 + leaving.hashCode();
+
     return hashCode;
   }
 
@@ -967,6 +1029,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeaving(), other.isSetLeaving());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaving()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaving, other.leaving);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1086,6 +1158,16 @@
       }
       first = false;
     }
+    if (isSetLeaving()) {
+      if (!first) sb.append(", ");
+      sb.append("leaving:");
+      if (this.leaving == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.leaving);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1111,6 +1193,9 @@
     if (limits != null) {
       limits.validate();
     }
+    if (leaving != null) {
+      leaving.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -1177,15 +1262,15 @@
           case 4: // GRANTS_TAKEN
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map96 = iprot.readMapBegin();
-                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map96.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key97;
-                long _val98;
-                for (int _i99 = 0; _i99 < _map96.size; ++_i99)
+                org.apache.thrift.protocol.TMap _map104 = iprot.readMapBegin();
+                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map104.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key105;
+                long _val106;
+                for (int _i107 = 0; _i107 < _map104.size; ++_i107)
                 {
-                  _key97 = iprot.readString();
-                  _val98 = iprot.readI64();
-                  struct.grantsTaken.put(_key97, _val98);
+                  _key105 = iprot.readString();
+                  _val106 = iprot.readI64();
+                  struct.grantsTaken.put(_key105, _val106);
                 }
                 iprot.readMapEnd();
               }
@@ -1197,14 +1282,14 @@
           case 5: // ASKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list100 = iprot.readListBegin();
-                struct.asks = new java.util.ArrayList<UseAsk>(_list100.size);
-                @org.apache.thrift.annotation.Nullable UseAsk _elem101;
-                for (int _i102 = 0; _i102 < _list100.size; ++_i102)
+                org.apache.thrift.protocol.TList _list108 = iprot.readListBegin();
+                struct.asks = new java.util.ArrayList<UseAsk>(_list108.size);
+                @org.apache.thrift.annotation.Nullable UseAsk _elem109;
+                for (int _i110 = 0; _i110 < _list108.size; ++_i110)
                 {
-                  _elem101 = new UseAsk();
-                  _elem101.read(iprot);
-                  struct.asks.add(_elem101);
+                  _elem109 = new UseAsk();
+                  _elem109.read(iprot);
+                  struct.asks.add(_elem109);
                 }
                 iprot.readListEnd();
               }
@@ -1216,14 +1301,14 @@
           case 6: // DECISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list103 = iprot.readListBegin();
-                struct.decisions = new java.util.ArrayList<UseDecision>(_list103.size);
-                @org.apache.thrift.annotation.Nullable UseDecision _elem104;
-                for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+                org.apache.thrift.protocol.TList _list111 = iprot.readListBegin();
+                struct.decisions = new java.util.ArrayList<UseDecision>(_list111.size);
+                @org.apache.thrift.annotation.Nullable UseDecision _elem112;
+                for (int _i113 = 0; _i113 < _list111.size; ++_i113)
                 {
-                  _elem104 = new UseDecision();
-                  _elem104.read(iprot);
-                  struct.decisions.add(_elem104);
+                  _elem112 = new UseDecision();
+                  _elem112.read(iprot);
+                  struct.decisions.add(_elem112);
                 }
                 iprot.readListEnd();
               }
@@ -1235,14 +1320,14 @@
           case 7: // WITHDRAWALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
-                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list106.size);
-                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem107;
-                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
+                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
+                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list114.size);
+                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem115;
+                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
                 {
-                  _elem107 = new UseWithdrawal();
-                  _elem107.read(iprot);
-                  struct.withdrawals.add(_elem107);
+                  _elem115 = new UseWithdrawal();
+                  _elem115.read(iprot);
+                  struct.withdrawals.add(_elem115);
                 }
                 iprot.readListEnd();
               }
@@ -1278,6 +1363,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 30: // LEAVING
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.leaving = new UseLeaving();
+              struct.leaving.read(iprot);
+              struct.setLeavingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1316,10 +1410,10 @@
           oprot.writeFieldBegin(GRANTS_TAKEN_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.grantsTaken.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter109 : struct.grantsTaken.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter117 : struct.grantsTaken.entrySet())
             {
-              oprot.writeString(_iter109.getKey());
-              oprot.writeI64(_iter109.getValue());
+              oprot.writeString(_iter117.getKey());
+              oprot.writeI64(_iter117.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1331,9 +1425,9 @@
           oprot.writeFieldBegin(ASKS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.asks.size()));
-            for (UseAsk _iter110 : struct.asks)
+            for (UseAsk _iter118 : struct.asks)
             {
-              _iter110.write(oprot);
+              _iter118.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1345,9 +1439,9 @@
           oprot.writeFieldBegin(DECISIONS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.decisions.size()));
-            for (UseDecision _iter111 : struct.decisions)
+            for (UseDecision _iter119 : struct.decisions)
             {
-              _iter111.write(oprot);
+              _iter119.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1359,9 +1453,9 @@
           oprot.writeFieldBegin(WITHDRAWALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.withdrawals.size()));
-            for (UseWithdrawal _iter112 : struct.withdrawals)
+            for (UseWithdrawal _iter120 : struct.withdrawals)
             {
-              _iter112.write(oprot);
+              _iter120.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1389,6 +1483,13 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.leaving != null) {
+        if (struct.isSetLeaving()) {
+          oprot.writeFieldBegin(LEAVING_FIELD_DESC);
+          struct.leaving.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1434,44 +1535,47 @@
       if (struct.isSetLimits()) {
         optionals.set(7);
       }
-      oprot.writeBitSet(optionals, 8);
+      if (struct.isSetLeaving()) {
+        optionals.set(8);
+      }
+      oprot.writeBitSet(optionals, 9);
       if (struct.isSetReport()) {
         struct.report.write(oprot);
       }
       if (struct.isSetGrantsTaken()) {
         {
           oprot.writeI32(struct.grantsTaken.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter113 : struct.grantsTaken.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter121 : struct.grantsTaken.entrySet())
           {
-            oprot.writeString(_iter113.getKey());
-            oprot.writeI64(_iter113.getValue());
+            oprot.writeString(_iter121.getKey());
+            oprot.writeI64(_iter121.getValue());
           }
         }
       }
       if (struct.isSetAsks()) {
         {
           oprot.writeI32(struct.asks.size());
-          for (UseAsk _iter114 : struct.asks)
+          for (UseAsk _iter122 : struct.asks)
           {
-            _iter114.write(oprot);
+            _iter122.write(oprot);
           }
         }
       }
       if (struct.isSetDecisions()) {
         {
           oprot.writeI32(struct.decisions.size());
-          for (UseDecision _iter115 : struct.decisions)
+          for (UseDecision _iter123 : struct.decisions)
           {
-            _iter115.write(oprot);
+            _iter123.write(oprot);
           }
         }
       }
       if (struct.isSetWithdrawals()) {
         {
           oprot.writeI32(struct.withdrawals.size());
-          for (UseWithdrawal _iter116 : struct.withdrawals)
+          for (UseWithdrawal _iter124 : struct.withdrawals)
           {
-            _iter116.write(oprot);
+            _iter124.write(oprot);
           }
         }
       }
@@ -1484,6 +1588,9 @@
       if (struct.isSetLimits()) {
         struct.limits.write(oprot);
       }
+      if (struct.isSetLeaving()) {
+        struct.leaving.write(oprot);
+      }
     }
 
     @Override
@@ -1493,7 +1600,7 @@
       struct.setFromInstanceIsSet(true);
       struct.address = iprot.readString();
       struct.setAddressIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(8);
+      java.util.BitSet incoming = iprot.readBitSet(9);
       if (incoming.get(0)) {
         struct.report = new UseReport();
         struct.report.read(iprot);
@@ -1501,57 +1608,57 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map117 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map117.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key118;
-          long _val119;
-          for (int _i120 = 0; _i120 < _map117.size; ++_i120)
+          org.apache.thrift.protocol.TMap _map125 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map125.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key126;
+          long _val127;
+          for (int _i128 = 0; _i128 < _map125.size; ++_i128)
           {
-            _key118 = iprot.readString();
-            _val119 = iprot.readI64();
-            struct.grantsTaken.put(_key118, _val119);
+            _key126 = iprot.readString();
+            _val127 = iprot.readI64();
+            struct.grantsTaken.put(_key126, _val127);
           }
         }
         struct.setGrantsTakenIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list121 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.asks = new java.util.ArrayList<UseAsk>(_list121.size);
-          @org.apache.thrift.annotation.Nullable UseAsk _elem122;
-          for (int _i123 = 0; _i123 < _list121.size; ++_i123)
+          org.apache.thrift.protocol.TList _list129 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.asks = new java.util.ArrayList<UseAsk>(_list129.size);
+          @org.apache.thrift.annotation.Nullable UseAsk _elem130;
+          for (int _i131 = 0; _i131 < _list129.size; ++_i131)
           {
-            _elem122 = new UseAsk();
-            _elem122.read(iprot);
-            struct.asks.add(_elem122);
+            _elem130 = new UseAsk();
+            _elem130.read(iprot);
+            struct.asks.add(_elem130);
           }
         }
         struct.setAsksIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list124 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.decisions = new java.util.ArrayList<UseDecision>(_list124.size);
-          @org.apache.thrift.annotation.Nullable UseDecision _elem125;
-          for (int _i126 = 0; _i126 < _list124.size; ++_i126)
+          org.apache.thrift.protocol.TList _list132 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.decisions = new java.util.ArrayList<UseDecision>(_list132.size);
+          @org.apache.thrift.annotation.Nullable UseDecision _elem133;
+          for (int _i134 = 0; _i134 < _list132.size; ++_i134)
           {
-            _elem125 = new UseDecision();
-            _elem125.read(iprot);
-            struct.decisions.add(_elem125);
+            _elem133 = new UseDecision();
+            _elem133.read(iprot);
+            struct.decisions.add(_elem133);
           }
         }
         struct.setDecisionsIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list127 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list127.size);
-          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem128;
-          for (int _i129 = 0; _i129 < _list127.size; ++_i129)
+          org.apache.thrift.protocol.TList _list135 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list135.size);
+          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem136;
+          for (int _i137 = 0; _i137 < _list135.size; ++_i137)
           {
-            _elem128 = new UseWithdrawal();
-            _elem128.read(iprot);
-            struct.withdrawals.add(_elem128);
+            _elem136 = new UseWithdrawal();
+            _elem136.read(iprot);
+            struct.withdrawals.add(_elem136);
           }
         }
         struct.setWithdrawalsIsSet(true);
@@ -1571,6 +1678,11 @@
         struct.limits.read(iprot);
         struct.setLimitsIsSet(true);
       }
+      if (incoming.get(8)) {
+        struct.leaving = new UseLeaving();
+        struct.leaving.read(iprot);
+        struct.setLeavingIsSet(true);
+      }
     }
   }
 
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseReport.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseReport.java
@@ -29,6 +29,7 @@
   private static final org.apache.thrift.protocol.TField LIMITS_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("limitsVersion", org.apache.thrift.protocol.TType.I64, (short)15);
   private static final org.apache.thrift.protocol.TField STORE_EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("storeEpoch", org.apache.thrift.protocol.TType.I64, (short)16);
   private static final org.apache.thrift.protocol.TField CONFIG_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("configVersion", org.apache.thrift.protocol.TType.I64, (short)17);
+  private static final org.apache.thrift.protocol.TField LEAVING_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("leavingVersion", org.apache.thrift.protocol.TType.I64, (short)30);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UseReportStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UseReportTupleSchemeFactory();
@@ -70,6 +71,10 @@
    * The version of the configuration that is in force at the sender.
    */
   public long configVersion; // optional
+  /**
+   * Up to which version of the receiver's leaving upstreams the sender knows them.
+   */
+  public long leavingVersion; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -109,7 +114,11 @@
     /**
      * The version of the configuration that is in force at the sender.
      */
-    CONFIG_VERSION((short)17, "configVersion");
+    CONFIG_VERSION((short)17, "configVersion"),
+    /**
+     * Up to which version of the receiver's leaving upstreams the sender knows them.
+     */
+    LEAVING_VERSION((short)30, "leavingVersion");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -157,6 +166,8 @@
           return STORE_EPOCH;
         case 17: // CONFIG_VERSION
           return CONFIG_VERSION;
+        case 30: // LEAVING_VERSION
+          return LEAVING_VERSION;
         default:
           return null;
       }
@@ -211,8 +222,9 @@
   private static final int __LIMITSVERSION_ISSET_ID = 8;
   private static final int __STOREEPOCH_ISSET_ID = 9;
   private static final int __CONFIGVERSION_ISSET_ID = 10;
+  private static final int __LEAVINGVERSION_ISSET_ID = 11;
   private short __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.WANTS_REPLY,_Fields.DECLINES_DUTY,_Fields.KNOWN_DIGEST,_Fields.MEMBERS,_Fields.LIST_OFFSET,_Fields.SUSPECTS_VERSION,_Fields.LIMITS_VERSION,_Fields.STORE_EPOCH,_Fields.CONFIG_VERSION};
+  private static final _Fields optionals[] = {_Fields.WANTS_REPLY,_Fields.DECLINES_DUTY,_Fields.KNOWN_DIGEST,_Fields.MEMBERS,_Fields.LIST_OFFSET,_Fields.SUSPECTS_VERSION,_Fields.LIMITS_VERSION,_Fields.STORE_EPOCH,_Fields.CONFIG_VERSION,_Fields.LEAVING_VERSION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -250,6 +262,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.CONFIG_VERSION, new org.apache.thrift.meta_data.FieldMetaData("configVersion", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LEAVING_VERSION, new org.apache.thrift.meta_data.FieldMetaData("leavingVersion", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UseReport.class, metaDataMap);
   }
@@ -318,6 +332,7 @@
     this.limitsVersion = other.limitsVersion;
     this.storeEpoch = other.storeEpoch;
     this.configVersion = other.configVersion;
+    this.leavingVersion = other.leavingVersion;
   }
 
   @Override
@@ -354,6 +369,8 @@
     this.storeEpoch = 0;
     setConfigVersionIsSet(false);
     this.configVersion = 0;
+    setLeavingVersionIsSet(false);
+    this.leavingVersion = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -808,6 +825,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CONFIGVERSION_ISSET_ID, value);
   }
 
+  /**
+   * Up to which version of the receiver's leaving upstreams the sender knows them.
+   */
+  public long getLeavingVersion() {
+    return this.leavingVersion;
+  }
+
+  /**
+   * Up to which version of the receiver's leaving upstreams the sender knows them.
+   */
+  public UseReport setLeavingVersion(long leavingVersion) {
+    this.leavingVersion = leavingVersion;
+    setLeavingVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetLeavingVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LEAVINGVERSION_ISSET_ID);
+  }
+
+  /** Returns true if field leavingVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeavingVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LEAVINGVERSION_ISSET_ID);
+  }
+
+  public void setLeavingVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEAVINGVERSION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -939,6 +985,14 @@
       }
       break;
 
+    case LEAVING_VERSION:
+      if (value == null) {
+        unsetLeavingVersion();
+      } else {
+        setLeavingVersion((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -994,6 +1048,9 @@
     case CONFIG_VERSION:
       return getConfigVersion();
 
+    case LEAVING_VERSION:
+      return getLeavingVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1038,6 +1095,8 @@
       return isSetStoreEpoch();
     case CONFIG_VERSION:
       return isSetConfigVersion();
+    case LEAVING_VERSION:
+      return isSetLeavingVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1199,6 +1258,15 @@
         return false;
     }
 
+    boolean this_present_leavingVersion = true && this.isSetLeavingVersion();
+    boolean that_present_leavingVersion = true && that.isSetLeavingVersion();
+    if (this_present_leavingVersion || that_present_leavingVersion) {
+      if (!(this_present_leavingVersion && that_present_leavingVersion))
+        return false;
+      if (this.leavingVersion != that.leavingVersion)
+        return false;
+    }
+
     return true;
   }
 
@@ -1264,6 +1332,10 @@
     if (isSetConfigVersion())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(configVersion);
 
+    hashCode = hashCode * 8191 + ((isSetLeavingVersion()) ? 131071 : 524287);
+    if (isSetLeavingVersion())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(leavingVersion);
+
     return hashCode;
   }
 
@@ -1435,6 +1507,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeavingVersion(), other.isSetLeavingVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeavingVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leavingVersion, other.leavingVersion);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1560,6 +1642,12 @@
       sb.append(this.configVersion);
       first = false;
     }
+    if (isSetLeavingVersion()) {
+      if (!first) sb.append(", ");
+      sb.append("leavingVersion:");
+      sb.append(this.leavingVersion);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1772,6 +1860,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 30: // LEAVING_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.leavingVersion = iprot.readI64();
+              struct.setLeavingVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1887,6 +1983,11 @@
         oprot.writeI64(struct.configVersion);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetLeavingVersion()) {
+        oprot.writeFieldBegin(LEAVING_VERSION_FIELD_DESC);
+        oprot.writeI64(struct.leavingVersion);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1946,7 +2047,10 @@
       if (struct.isSetConfigVersion()) {
         optionals.set(8);
       }
-      oprot.writeBitSet(optionals, 9);
+      if (struct.isSetLeavingVersion()) {
+        optionals.set(9);
+      }
+      oprot.writeBitSet(optionals, 10);
       if (struct.isSetWantsReply()) {
         oprot.writeBool(struct.wantsReply);
       }
@@ -1980,6 +2084,9 @@
       if (struct.isSetConfigVersion()) {
         oprot.writeI64(struct.configVersion);
       }
+      if (struct.isSetLeavingVersion()) {
+        oprot.writeI64(struct.leavingVersion);
+      }
     }
 
     @Override
@@ -2009,7 +2116,7 @@
       struct.setAddressIsSet(true);
       struct.milliCores = iprot.readI32();
       struct.setMilliCoresIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(9);
+      java.util.BitSet incoming = iprot.readBitSet(10);
       if (incoming.get(0)) {
         struct.wantsReply = iprot.readBool();
         struct.setWantsReplyIsSet(true);
@@ -2056,6 +2163,10 @@
         struct.configVersion = iprot.readI64();
         struct.setConfigVersionIsSet(true);
       }
+      if (incoming.get(9)) {
+        struct.leavingVersion = iprot.readI64();
+        struct.setLeavingVersionIsSet(true);
+      }
     }
   }
 
--- a/magnoliapick-rpc/src/main/thrift/use.thrift
+++ b/magnoliapick-rpc/src/main/thrift/use.thrift
@@ -64,6 +64,8 @@
   16: optional i64 storeEpoch
   /** The version of the configuration that is in force at the sender. */
   17: optional i64 configVersion
+  /** Up to which version of the receiver's leaving upstreams the sender knows them. */
+  30: optional i64 leavingVersion
 }
 
 /** A record of the list of upstreams; without a value its key was dropped. */
@@ -163,6 +165,19 @@
   2: optional list<UseRateLimit> limits
 }
 
+/** An upstream that stated that it is leaving. */
+struct UseLeavingUpstream {
+  1: required string upstream
+  2: required i64 startedMillis
+  3: required i64 ageMillis
+}
+
+/** The leaving upstreams that the receiver does not know of. */
+struct UseLeaving {
+  1: required i64 version
+  2: optional list<UseLeavingUpstream> upstreams
+}
+
 /** One datagram. */
 struct UsePacket {
   1: required string fromInstance
@@ -175,4 +190,5 @@
   8: optional UseStoreNews news
   9: optional UseSuspects suspects
   10: optional UseRateLimits limits
+  30: optional UseLeaving leaving
 }
--- a/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -16,20 +16,25 @@
 import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.lib.UpstreamIncarnation;
 import org.magnoliapick.lib.WorkspaceId;
 import org.magnoliapick.limit.RateLimit;
 import org.magnoliapick.limit.RateLimitUpdate;
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.StorePosition;
 import org.magnoliapick.member.StoreUpdate;
+import org.magnoliapick.member.UpdateSubject;
 import org.magnoliapick.member.UpstreamChange;
 import org.magnoliapick.pool.InstancePacket;
 import org.magnoliapick.pool.InstanceReport;
+import org.magnoliapick.pool.LeavingUpdate;
+import org.magnoliapick.pool.LeavingUpstream;
 import org.magnoliapick.pool.PoolCause;
 import org.magnoliapick.pool.PoolDecision;
 import org.magnoliapick.pool.PoolJob;
 import org.magnoliapick.pool.PoolMessage;
 import org.magnoliapick.pool.PoolUse;
+import org.magnoliapick.pool.UpstreamNotices;
 import org.magnoliapick.pool.UpstreamUse;
 import org.magnoliapick.quarantine.PartKey;
 import org.magnoliapick.quarantine.Sighting;
@@ -37,6 +42,7 @@
 import org.magnoliapick.quarantine.SuspectUpdate;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
+import org.magnoliapick.rpc.gen.UsePacket;
 
 final class UsePacketCodecTest {
     private static final InstanceId FROM = new InstanceId("from");
@@ -78,6 +84,20 @@
                         new RateLimit(new UpstreamId("v"), 13, OptionalDouble.empty(), 800)));
     }
 
+    private static UpstreamIncarnation incarnation(String upstream, long startedMillis) {
+        return new UpstreamIncarnation(new UpstreamId(upstream), startedMillis);
+    }
+
+    private static UpstreamNotices notices() {
+        return new UpstreamNotices(
+                Optional.of(
+                        new LeavingUpdate(
+                                19,
+                                List.of(
+                                        new LeavingUpstream(incarnation("u", 12), 900),
+                                        new LeavingUpstream(incarnation("v", 13), 800)))));
+    }
+
     private static InstancePacket packet() {
         PoolUse use =
                 new PoolUse(
@@ -105,11 +125,13 @@
                                 new StorePosition(2, 10, 17),
                                 11,
                                 13,
+                                Map.of(UpdateSubject.LEAVING, 18L),
                                 List.of(member))),
                 Map.of("s", 8L),
                 Optional.of(new StoreUpdate(2, 6, 9, 20, List.of(put, dropped), 3, 400)),
                 Optional.of(suspects()),
                 Optional.of(rateLimits()),
+                notices(),
                 List.of(
                         new PoolMessage.Query(TO, job()),
                         new PoolMessage.Reply(TO, "s", new PoolDecision.Queued(1)),
@@ -129,6 +151,19 @@
         assertThat(UsePacketCodec.decode(bytes, TO, 1_000)).contains(packet());
     }
 
+    /** Guards against instances of a former build that are not understood. */
+    @Test
+    void readsAPacketWithoutNotices() throws Exception {
+        CompactBytes bytes = new CompactBytes(10_000);
+        UsePacket message = bytes.read(new UsePacket(), UsePacketCodec.encode(packet(), 1_000));
+        message.unsetLeaving();
+        message.getReport().unsetLeavingVersion();
+        InstancePacket read = UsePacketCodec.decode(bytes.write(message), TO, 1_000).orElseThrow();
+        assertThat(read.notices()).isEqualTo(UpstreamNotices.NONE);
+        assertThat(read.report().orElseThrow().knownVersions()).isEmpty();
+        assertThat(read.messages()).isEqualTo(packet().messages());
+    }
+
     @Property(tries = 300, seed = "3")
     void survivesAnyBytes(@ForAll byte[] bytes) {
         assertThat(UsePacketCodec.decode(bytes, TO, 0)).isNotNull();
