--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolCause.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolCause.java
@@ -21,7 +21,9 @@
     /** Upstreams crashed that began to answer requests with a part of the prompt. */
     QUARANTINED(ErrorKind.QUARANTINED),
     /** The rate limits of all upstreams leave no room in time. */
-    RATE_LIMITED(ErrorKind.WORKSPACE_QUEUE_FULL);
+    RATE_LIMITED(ErrorKind.WORKSPACE_QUEUE_FULL),
+    /** All upstreams want no requests of the instance for a while. */
+    PAUSED(ErrorKind.NO_UPSTREAM);
 
     private final ErrorKind mKind;
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -12,6 +12,7 @@
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.quarantine.Quarantine;
 import org.magnoliapick.relay.Prompt;
@@ -44,6 +45,7 @@
     private final PoolSettings mSettings;
     private final ServedTokens mServed;
     private final PoolLoads mLoads;
+    private final PoolPauses mPauses;
     private final WaitingJobs mWaiting = new WaitingJobs();
     private final PeerQueues mPeerQueues = new PeerQueues();
     private final Refusals mRefusals;
@@ -58,16 +60,19 @@
      *
      * @param quarantine the prompt parts with which requests are refused
      * @param rateLimits the rate limits that upstreams named
+     * @param pauses the pauses that upstreams asked instances for
      */
     public PoolScheduler(
             ServiceSpec service,
             PoolSettings settings,
             PromptQuarantine quarantine,
-            RateLimits rateLimits) {
+            RateLimits rateLimits,
+            UpstreamPauses pauses) {
         mService = service;
         mSettings = settings;
         mQuarantine = quarantine;
         mLoads = new PoolLoads(rateLimits);
+        mPauses = new PoolPauses(pauses, mLoads);
         mServed = new ServedTokens(settings.shareWindowMillis());
         mRefusals = new Refusals(settings, mWaiting, mServed, mPeerQueues);
     }
@@ -171,10 +176,12 @@
 
     /**
      * Starts a request of this instance as a dispatcher granted it; returns empty if the upstream
-     * is not listed here.
+     * is not listed here or wants no requests of this instance at present.
      */
     public Optional<Ticket> startGranted(PoolJob job, PoolDecision.Start start, long nowMillis) {
-        return mLoads.find(start.upstream()).map(load -> startGranted(load, job, start, nowMillis));
+        return mLoads.find(start.upstream())
+                .filter(load -> !mPauses.isPaused(job, load, nowMillis))
+                .map(load -> startGranted(load, job, start, nowMillis));
     }
 
     private static Ticket startGranted(
@@ -288,6 +295,9 @@
         }
         mLoads.refreshRateLimits(nowMillis);
         List<PoolAction> actions = new ArrayList<>(refuseQuarantined(nowMillis));
+        if (!mPauses.isEmpty()) {
+            actions.addAll(mRefusals.refusePaused(mPauses, throughput(nowMillis), nowMillis));
+        }
         while (startNext(actions, nowMillis)) {
             // Each start changes the order of the remaining requests.
         }
@@ -322,6 +332,10 @@
         while (order.hasNext() && skipped <= MAX_SKIPPED_JOBS) {
             WaitingJob entry = order.next();
             PoolJob job = entry.job();
+            if (mPauses.areAllPaused(job, withRoom, nowMillis)) {
+                // Requests of other instances behind it may start.
+                continue;
+            }
             double served = job.answerStarted() ? 0 : mServed.of(job.account(), nowMillis);
             // Less served workspaces have requests waiting at other instances, which go first.
             if (served > currentServedLimit) {
@@ -419,9 +433,10 @@
 
     private boolean isEligible(PoolJob job, UpstreamLoad load, long nowMillis) {
         boolean excluded =
-                job.excluded().contains(load.upstream().id())
-                        && job.excluded().size() < mLoads.all().size();
-        return !excluded && load.health().isAvailable(nowMillis);
+                job.excluded().contains(load.upstream().id()) && mPauses.hasOther(job, nowMillis);
+        return !excluded
+                && load.health().isAvailable(nowMillis)
+                && !mPauses.isPaused(job, load, nowMillis);
     }
 
     private List<Candidate> candidates(PoolJob job, Collection<UpstreamLoad> loads) {
@@ -462,7 +477,10 @@
 
     private long firstEventMillis(PoolJob job, long nowMillis) {
         return candidates(job, mLoads.all()).stream()
-                .mapToLong(each -> each.load().firstEventMillis(each.newTokens(), nowMillis))
+                .mapToLong(
+                        each ->
+                                each.load().firstEventMillis(each.newTokens(), nowMillis)
+                                        + mPauses.remainingMillis(job, each.load(), nowMillis))
                 .min()
                 .orElse(Long.MAX_VALUE);
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Refusals.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Refusals.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.ToLongFunction;
 
 /**
@@ -77,6 +78,35 @@
         return refusals;
     }
 
+    /**
+     * Removes and refuses the waiting requests of instances of which no upstream takes requests for
+     * longer than such a request may wait.
+     */
+    List<PoolAction> refusePaused(PoolPauses pauses, Throughput throughput, long nowMillis) {
+        List<PoolAction> refusals = new ArrayList<>();
+        for (PoolJob job : mWaiting.jobs()) {
+            OptionalLong untilMillis = pauses.untilAnyMillis(job, nowMillis);
+            long waitedMillis = nowMillis - job.submittedMillis();
+            if (!job.answerStarted()
+                    && untilMillis.isPresent()
+                    && waitedMillis + untilMillis.getAsLong() > minWaitMillis(job)) {
+                long retryAfterMillis = retryAfterMillis(job, throughput, nowMillis);
+                refusals.add(
+                        new PoolAction.Refuse(
+                                job,
+                                Math.min(untilMillis.getAsLong(), retryAfterMillis),
+                                PoolCause.PAUSED));
+            }
+        }
+        refusals.forEach(each -> mWaiting.remove(each.job()));
+        return refusals;
+    }
+
+    /** Returns how long a request waits before it can be refused as too late, in milliseconds. */
+    private static long minWaitMillis(PoolJob job) {
+        return (long) (job.objectiveMillis() * MIN_WAIT_FRACTION);
+    }
+
     private static boolean isLate(
             WaitingJob entry,
             boolean atOnce,
@@ -84,7 +114,7 @@
             ToLongFunction<PoolJob> firstEventMillis,
             long nowMillis) {
         PoolJob job = entry.job();
-        long minWaitMillis = atOnce ? 0 : (long) (job.objectiveMillis() * MIN_WAIT_FRACTION);
+        long minWaitMillis = atOnce ? 0 : minWaitMillis(job);
         if (job.answerStarted() || nowMillis - job.submittedMillis() < minWaitMillis) {
             return false;
         }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamNotices.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamNotices.java
@@ -1,13 +1,16 @@
 package org.magnoliapick.pool;
 
 import java.util.Optional;
+import org.magnoliapick.limit.PauseUpdate;
 
 /**
  * The part of a datagram with what upstreams stated about themselves.
  *
  * @param leaving the leaving upstreams that the receiver does not know of
+ * @param pauses the pauses that upstreams asked the sender for, if the receiver decides for it
  */
-public record UpstreamNotices(Optional<LeavingUpdate> leaving) {
+public record UpstreamNotices(Optional<LeavingUpdate> leaving, Optional<PauseUpdate> pauses) {
     /** Nothing that the receiver lacks. */
-    public static final UpstreamNotices NONE = new UpstreamNotices(Optional.empty());
+    public static final UpstreamNotices NONE =
+            new UpstreamNotices(Optional.empty(), Optional.empty());
 }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeEngine.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeEngine.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.function.IntPredicate;
 
 /** An engine of a fleet in virtual time. */
 final class FakeEngine {
@@ -15,6 +16,11 @@
     private OptionalDouble mRateLimit = OptionalDouble.empty();
     private boolean mRunning = true;
     private boolean mLeaving;
+    private final List<Pause> mPauses = new ArrayList<>();
+    private IntPredicate mRefused = instance -> false;
+    private long mRefusesFromMillis;
+    private long mRefusesUntilMillis;
+    private long mPauseMillis;
 
     FakeEngine(ListedUpstream upstream) {
         mUpstream = upstream;
@@ -77,6 +83,35 @@
         return mLeaving;
     }
 
+    /** Makes it refuse the requests of some instances for a time, with a pause for each. */
+    void refuse(IntPredicate instances, long fromMillis, long untilMillis, long pauseMillis) {
+        mRefused = instances;
+        mRefusesFromMillis = fromMillis;
+        mRefusesUntilMillis = untilMillis;
+        mPauseMillis = pauseMillis;
+    }
+
+    boolean refuses(int instance, long nowMillis) {
+        return mRefused.test(instance)
+                && nowMillis >= mRefusesFromMillis
+                && nowMillis < mRefusesUntilMillis;
+    }
+
+    /** Records that the refusal of a request is received; returns the pause that it asks for. */
+    long refuse(FakeFleet.Request request, long nowMillis) {
+        mRequests.remove(request);
+        mPauses.add(new Pause(request.instance(), nowMillis, nowMillis + mPauseMillis));
+        return mPauseMillis;
+    }
+
+    /** Returns the pauses that it asked for. */
+    List<Pause> pauses() {
+        return mPauses;
+    }
+
+    /** A pause for an instance, from when it received the refusal. */
+    record Pause(int instance, long fromMillis, long untilMillis) {}
+
     boolean isRunning() {
         return mRunning;
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
-import org.magnoliapick.quarantine.Quarantine;
 import org.magnoliapick.relay.FleetRetryBudget;
 import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.relay.RelayAttempts;
@@ -195,7 +194,7 @@
     private final class Instance {
         private final int mNumber;
         private final InstanceId mId;
-        private final FakeKnowledge mKnowledge = new FakeKnowledge();
+        private final FakeKnowledge mKnowledge = new FakeKnowledge(mTime.nowMillis());
         private final ServicePool mPool =
                 new ServicePool(
                         "s",
@@ -203,7 +202,8 @@
                                 Jobs.ENGINES,
                                 new PoolSettings(4_000, 100),
                                 mKnowledge.quarantine(),
-                                mKnowledge.rateLimits()));
+                                mKnowledge.rateLimits(),
+                                mKnowledge.pauses()));
         private final FleetRetryBudget mBudget = new FleetRetryBudget(0.2, 50, 10_000, 1);
         private final Map<Long, Request> mWaiting = new LinkedHashMap<>();
 
@@ -277,6 +277,7 @@
                 to.listEngines();
             }
             if (to.cellDispatcher() == to) {
+                mKnowledge.sendPausesTo(to.mKnowledge, mId, mTime.nowMillis());
                 PoolUse use =
                         cellDispatcher() == this
                                 ? mPool.scheduler().aggregateUse(mTime.nowMillis())
@@ -371,13 +372,11 @@
         }
 
         private boolean isQuarantined() {
-            Optional<Quarantine> quarantine =
-                    mInstance
-                            .mKnowledge
-                            .quarantine()
-                            .find("s", mRequest.prompt(), mTime.nowMillis());
-            quarantine.ifPresent(each -> mRefusal = Optional.of(PoolCause.QUARANTINED));
-            return quarantine.isPresent();
+            boolean quarantined = mInstance.mKnowledge.isQuarantined(mRequest, mTime.nowMillis());
+            if (quarantined) {
+                mRefusal = Optional.of(PoolCause.QUARANTINED);
+            }
+            return quarantined;
         }
 
         private void submit() {
@@ -414,7 +413,17 @@
             mSentMillis.add(mTime.nowMillis());
             mAttempts.sent(ticket.upstream().id());
             engine.arrive(this, mTime.nowMillis());
-            mTime.after(PREFILL_MILLIS, () -> beginAnswer(engine));
+            if (engine.refuses(mInstance.mNumber, mTime.nowMillis())) {
+                mTime.after(MESSAGE_MILLIS, () -> refused(engine));
+            } else {
+                mTime.after(PREFILL_MILLIS, () -> beginAnswer(engine));
+            }
+        }
+
+        private void refused(FakeEngine engine) {
+            long pauseMillis = engine.refuse(this, mTime.nowMillis());
+            mInstance.mKnowledge.recordRefusal(engine, mRequest, pauseMillis, mTime.nowMillis());
+            ended(Optional.of(AttemptEnd.REFUSED));
         }
 
         private void beginAnswer(FakeEngine engine) {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
@@ -2,8 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.limit.RateLimit;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.relay.RelayRequest;
 
@@ -11,11 +13,38 @@
 final class FakeKnowledge {
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final RateLimits mRateLimits = new RateLimits();
+    private final UpstreamPauses mPauses = new UpstreamPauses();
+    private final long mStartedMillis;
+    private final Map<FakeKnowledge, Long> mReceivedPauses = new HashMap<>();
     private final LeavingUpstreams mLeaving = new LeavingUpstreams();
     private final Map<FakeKnowledge, Long> mReceivedLeaving = new HashMap<>();
     private final Map<FakeKnowledge, Long> mReceivedSuspects = new HashMap<>();
     private final Map<FakeKnowledge, Long> mReceivedLimits = new HashMap<>();
 
+    FakeKnowledge(long startedMillis) {
+        mStartedMillis = startedMillis;
+    }
+
+    UpstreamPauses pauses() {
+        return mPauses;
+    }
+
+    void recordRefusal(FakeEngine engine, RelayRequest request, long pauseMillis, long nowMillis) {
+        mPauses.record(engine.upstream().incarnation(), request.id(), pauseMillis, nowMillis);
+    }
+
+    /** Sends the own pauses that a dispatcher lacks. */
+    void sendPausesTo(FakeKnowledge to, InstanceId name, long nowMillis) {
+        mPauses.tick(nowMillis);
+        to.mPauses.reportReceived(name, mStartedMillis);
+        mPauses.updateFor(to.mReceivedPauses.getOrDefault(this, 0L))
+                .ifPresent(
+                        update -> {
+                            to.mPauses.applyUpdate(name, mStartedMillis, update, nowMillis);
+                            to.mReceivedPauses.put(this, update.version());
+                        });
+    }
+
     PromptQuarantine quarantine() {
         return mQuarantine;
     }
@@ -53,6 +82,10 @@
                 crashedMillis);
     }
 
+    boolean isQuarantined(RelayRequest request, long nowMillis) {
+        return mQuarantine.find("s", request.prompt(), nowMillis).isPresent();
+    }
+
     boolean mayRetry(RelayRequest request) {
         return mQuarantine.mayRetry("s", request.prompt(), request.id());
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
@@ -10,6 +10,7 @@
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
@@ -36,9 +37,22 @@
     }
 
     static PoolScheduler scheduler(RateLimits limits, String... upstreams) {
+        return scheduler(limits, new UpstreamPauses(), upstreams);
+    }
+
+    static PoolScheduler scheduler(UpstreamPauses pauses, String... upstreams) {
+        return scheduler(new RateLimits(), pauses, upstreams);
+    }
+
+    private static PoolScheduler scheduler(
+            RateLimits limits, UpstreamPauses pauses, String... upstreams) {
         PoolScheduler scheduler =
                 new PoolScheduler(
-                        ENGINES, new PoolSettings(4_000, 100), new PromptQuarantine(), limits);
+                        ENGINES,
+                        new PoolSettings(4_000, 100),
+                        new PromptQuarantine(),
+                        limits,
+                        pauses);
         scheduler.setUpstreams(List.of(upstreams).stream().map(Jobs::upstream).toList(), 0);
         return scheduler;
     }
@@ -103,15 +117,24 @@
 
     /** Returns the same request as a retry of a caller that was refused before. */
     static PoolJob callerRetry(PoolJob job) {
-        return copy(job, true, job.requester());
+        return copy(job, true, job.excluded(), job.requester());
     }
 
     /** Returns the same request as a query of another instance. */
     static PoolJob fromInstance(PoolJob job, String requester) {
-        return copy(job, job.callerRetry(), Optional.of(new InstanceId(requester)));
+        return copy(job, job.callerRetry(), job.excluded(), Optional.of(new InstanceId(requester)));
+    }
+
+    /** Returns the same request after it was sent to an upstream. */
+    static PoolJob excluding(PoolJob job, String upstream) {
+        return copy(job, job.callerRetry(), Set.of(new UpstreamId(upstream)), job.requester());
     }
 
-    private static PoolJob copy(PoolJob job, boolean callerRetry, Optional<InstanceId> requester) {
+    private static PoolJob copy(
+            PoolJob job,
+            boolean callerRetry,
+            Set<UpstreamId> excluded,
+            Optional<InstanceId> requester) {
         return new PoolJob(
                 job.id(),
                 job.service(),
@@ -121,7 +144,7 @@
                 job.objectiveMillis(),
                 job.dueMillis(),
                 callerRetry,
-                job.excluded(),
+                excluded,
                 job.unreachable(),
                 job.answerStarted(),
                 job.rank(),
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/LeavingUpstreamTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/LeavingUpstreamTest.java
@@ -84,15 +84,7 @@
     }
 
     private void send(FakeFleet fleet, long untilMillis, int perSecond) {
-        int instances = fleet.instanceCount();
-        for (long i = 0; i * 1_000 / perSecond < untilMillis; i++) {
-            String part = "part-" + i % 40;
-            fleet.at(
-                    i * 1_000 / perSecond,
-                    () ->
-                            mRequests.add(
-                                    fleet.send(fleet.random().nextInt(instances), "base", part)));
-        }
+        Demand.send(fleet, mRequests, 0, untilMillis, perSecond);
     }
 
     private static List<FakeEngine> leave(FakeFleet fleet, long atMillis, int count) {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/RateLimitTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/RateLimitTest.java
@@ -197,15 +197,7 @@
     }
 
     private void send(FakeFleet fleet, long fromMillis, long untilMillis, int perSecond) {
-        int instances = fleet.instanceCount();
-        for (long i = 0; i * 1_000 / perSecond < untilMillis - fromMillis; i++) {
-            String part = "part-" + i % 40;
-            fleet.at(
-                    fromMillis + i * 1_000 / perSecond,
-                    () ->
-                            mRequests.add(
-                                    fleet.send(fleet.random().nextInt(instances), "base", part)));
-        }
+        Demand.send(fleet, mRequests, fromMillis, untilMillis, perSecond);
     }
 
     private static void limit(FakeFleet fleet, long atMillis, int engines, double perSecond) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/ResponseHead.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * The platform's fields in the head of an upstream's response.
@@ -12,10 +13,13 @@
  * @param rateLimit the requests per second that the upstream takes from all instances together, if
  *     it names a limit
  * @param leaving whether the upstream states that it is leaving
+ * @param pauseMillis how long the upstream, which refuses the request, wants no others of this
+ *     instance, in milliseconds
  */
 public record ResponseHead(
         Optional<String> id,
         boolean notRun,
         boolean signed,
         OptionalDouble rateLimit,
-        boolean leaving) {}
+        boolean leaving,
+        OptionalLong pauseMillis) {}
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -95,6 +95,7 @@
                         mDirectory,
                         mContext.quarantine(),
                         mContext.rateLimits(),
+                        mContext.pauses(),
                         mRelays::execute);
         mRelays.setPools(mPools);
         mRelays.setStartingBehind(this::isStartingBehind);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/NoticeExchange.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/NoticeExchange.java
@@ -7,6 +7,7 @@
 import org.magnoliapick.member.UpdateExchange;
 import org.magnoliapick.member.UpdateSubject;
 import org.magnoliapick.pool.InstancePacket;
+import org.magnoliapick.pool.InstanceReport;
 import org.magnoliapick.pool.UpstreamNotices;
 
 /** Exchanges with other instances what upstreams stated about themselves. */
@@ -23,7 +24,11 @@
     UpstreamNotices toSend(PendingReport target, long nowMillis) {
         return new UpstreamNotices(
                 exchange(target.address(), UpdateSubject.LEAVING)
-                        .flatMap(each -> each.toSend(mPools.leaving()::updateFor, nowMillis)));
+                        .flatMap(each -> each.toSend(mPools.leaving()::updateFor, nowMillis)),
+                // Only instances that may decide for this one need its pauses.
+                exchange(target.address(), UpdateSubject.PAUSES)
+                        .filter(each -> target.content() == PendingReport.Content.OWN_USE)
+                        .flatMap(each -> each.toSend(mPools.pauses()::updateFor, nowMillis)));
     }
 
     /** Applies what another instance sent. */
@@ -36,6 +41,22 @@
                             exchange(packet.address(), UpdateSubject.LEAVING)
                                     .ifPresent(each -> each.received(update.version()));
                         });
+        packet.report()
+                .map(InstanceReport::startedMillis)
+                .ifPresent(started -> receivePauses(packet, started, nowMillis));
+    }
+
+    private void receivePauses(InstancePacket packet, long startedMillis, long nowMillis) {
+        mPools.pauses().reportReceived(packet.from(), startedMillis);
+        packet.notices()
+                .pauses()
+                .ifPresent(
+                        update -> {
+                            mPools.pauses()
+                                    .applyUpdate(packet.from(), startedMillis, update, nowMillis);
+                            exchange(packet.address(), UpdateSubject.PAUSES)
+                                    .ifPresent(each -> each.received(update.version()));
+                        });
     }
 
     private Optional<UpdateExchange> exchange(String address, UpdateSubject subject) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -15,6 +15,7 @@
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.pool.FleetShare;
 import org.magnoliapick.pool.InstancePacket;
 import org.magnoliapick.pool.LeavingUpdate;
@@ -46,6 +47,7 @@
     private final UpstreamDirectory mDirectory;
     private final PromptQuarantine mQuarantine;
     private final RateLimits mRateLimits;
+    private final UpstreamPauses mPauses;
     private final Consumer<PoolAction> mSink;
     private Supplier<Optional<InstanceId>> mRemoteDispatcher = Optional::empty;
     private Runnable mScheduleFlush = () -> {};
@@ -62,6 +64,7 @@
      *
      * @param quarantine the prompt parts with which requests are refused
      * @param rateLimits the rate limits that upstreams named
+     * @param pauses the pauses that upstreams asked instances for
      * @param sink executes the pools' decisions on requests of this instance
      */
     public Pools(
@@ -70,12 +73,14 @@
             UpstreamDirectory directory,
             PromptQuarantine quarantine,
             RateLimits rateLimits,
+            UpstreamPauses pauses,
             Consumer<PoolAction> sink) {
         mConnector = connector;
         mSettings = settings;
         mDirectory = directory;
         mQuarantine = quarantine;
         mRateLimits = rateLimits;
+        mPauses = pauses;
         mSink = sink;
     }
 
@@ -137,8 +142,15 @@
     }
 
     /** Returns whether a request that was placed at an upstream may still be sent there. */
-    boolean mayBeSent(ListedUpstream upstream) {
-        return mDirectory.isUsable(upstream);
+    boolean mayBeSent(ListedUpstream upstream, long nowMillis) {
+        return mDirectory.isUsable(upstream)
+                && mPauses.remainingMillis(Optional.empty(), upstream.incarnation(), nowMillis)
+                        == 0;
+    }
+
+    /** Returns the pauses that upstreams asked instances for. */
+    public UpstreamPauses pauses() {
+        return mPauses;
     }
 
     /** Sets the part of the fleet for which this instance decides. */
@@ -359,7 +371,7 @@
                             mConfig.flatMap(config -> config.service(name))
                                     .orElse(new ServiceSpec(name, 0, Optional.empty()));
                     PoolScheduler scheduler =
-                            new PoolScheduler(spec, mSettings, mQuarantine, mRateLimits);
+                            new PoolScheduler(spec, mSettings, mQuarantine, mRateLimits, mPauses);
                     scheduler.setShare(mShare, nowMillis);
                     setUpstreams(name, scheduler, nowMillis);
                     return new ServicePool(name, scheduler);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -193,7 +193,7 @@
 
     /** Returns whether the request may still be sent to the upstream that the pool chose. */
     boolean mayBeSent(ListedUpstream upstream) {
-        return mPools.mayBeSent(upstream);
+        return mPools.mayBeSent(upstream, mContext.nowMillis());
     }
 
     /** Has another upstream chosen, because the first no longer takes requests. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
@@ -7,6 +7,7 @@
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.relay.FleetRetryBudget;
 import org.magnoliapick.route.TrafficConfig;
@@ -22,6 +23,7 @@
     private final RelayCounters mCounters = new RelayCounters();
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final RateLimits mRateLimits = new RateLimits();
+    private final UpstreamPauses mPauses = new UpstreamPauses();
     private Optional<TrafficConfig> mConfig = Optional.empty();
 
     /** Creates a context without a configuration. */
@@ -65,6 +67,11 @@
         return mRateLimits;
     }
 
+    /** Returns the pauses that upstreams asked instances for. */
+    public UpstreamPauses pauses() {
+        return mPauses;
+    }
+
     /** Returns the request counters. */
     public RelayCounters counters() {
         return mCounters;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamStatements.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamStatements.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.magnoliapick.gateway.ResponseHead;
+import org.magnoliapick.lib.UpstreamIncarnation;
+import org.magnoliapick.limit.PauseChange;
 import org.magnoliapick.pool.LeavingChange;
 import org.magnoliapick.pool.ListedUpstream;
 
@@ -30,10 +32,30 @@
         if (head.leaving()) {
             mPools.recordLeaving(upstream, request, mContext.nowMillis());
         }
+        head.pauseMillis()
+                .ifPresent(
+                        millis ->
+                                mContext.pauses()
+                                        .record(
+                                                upstream.incarnation(),
+                                                request,
+                                                millis,
+                                                mContext.nowMillis()));
     }
 
-    /** Logs what changed. */
+    /** Ends the pauses that are over and logs what changed. */
     public void tick(long nowMillis) {
+        mContext.pauses().tick(nowMillis);
+        for (PauseChange change : mContext.pauses().takeChanges()) {
+            UpstreamIncarnation incarnation = change.pause().incarnation();
+            mContext.log()
+                    .line(change.logName())
+                    .with("upstream", incarnation.upstream())
+                    .with("startedMillis", incarnation.startedMillis())
+                    .with("evidence", change.evidence())
+                    .with("forMillis", Math.max(0, change.pause().endMillis() - nowMillis))
+                    .log();
+        }
         for (LeavingChange change : mPools.leaving().takeChanges()) {
             mContext.log()
                     .line(change.logName())
@@ -49,5 +71,7 @@
     public void writeMetrics(StringBuilder text) {
         RelayCounters.appendMetric(
                 text, "magnoliapick_upstreams_leaving", mPools.leaving().count());
+        RelayCounters.appendMetric(
+                text, "magnoliapick_upstreams_paused", mContext.pauses().count());
     }
 }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
@@ -71,7 +71,10 @@
                 Stream.ofNullable(head.headers().get("Rate-Limit"))
                         .mapToDouble(Double::parseDouble)
                         .findFirst(),
-                head.headers().contains("Leaving"));
+                head.headers().contains("Leaving"),
+                Stream.ofNullable(head.headers().get("Pause"))
+                        .mapToLong(Long::parseLong)
+                        .findFirst());
     }
 
     @Override
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/peer/PeerSocketTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/peer/PeerSocketTest.java
@@ -24,6 +24,7 @@
 import org.magnoliapick.gateway.internal.relay.Pools;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.StorePosition;
 import org.magnoliapick.member.StoreRelay;
@@ -75,6 +76,7 @@
                         new UpstreamDirectory(),
                         new PromptQuarantine(),
                         new RateLimits(),
+                        new UpstreamPauses(),
                         action -> {});
         return new PeerSocket(
                 mLoop,
--- a/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
+++ b/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
@@ -29,7 +29,8 @@
     private static final String PROMPT_QUARANTINED = "prompt.quarantined";
 
     /** Reasons that several kinds of lines may name and that have a text of their own. */
-    private static final Set<String> REASONS = Set.of("quarantined", "rate-limited", "no-upstream");
+    private static final Set<String> REASONS =
+            Set.of("quarantined", "rate-limited", "no-upstream", "paused");
 
     /** The ends of a request that have a cause to be told. */
     private static final Set<String> FAILED =
@@ -230,7 +231,8 @@
     /** What upstreams state about themselves. */
     private enum Statement {
         RATE_LIMIT("upstream.rate-", "upstream.rate-limited", "rate-limited"),
-        LEAVING("upstream.leaving", "upstream.leaving", "no-upstream");
+        LEAVING("upstream.leaving", "upstream.leaving", "no-upstream"),
+        PAUSE("upstream.pause", "upstream.paused", "paused");
 
         /** The prefix of the kinds of its lines. */
         private final String mPrefix;
--- a/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
+++ b/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
@@ -335,6 +335,26 @@
                 .doesNotContain("upstream=v");
     }
 
+    @Test
+    void tellsWhichUpstreamsWerePaused() throws IOException {
+        Path file = mDirectory.resolve("gateway.log");
+        Files.writeString(
+                file,
+                "{\"atMillis\":10,\"kind\":\"upstream.paused\",\"upstream\":\"u\","
+                        + "\"forMillis\":\"9000\",\"evidence\":\"request r\"}\n"
+                        + "{\"atMillis\":11,\"kind\":\"upstream.paused\","
+                        + "\"upstream\":\"v\",\"evidence\":\"request s\"}\n"
+                        + "{\"atMillis\":20,\"kind\":\"upstream.pause-ended\","
+                        + "\"upstream\":\"v\",\"evidence\":\"the time is over\"}\n"
+                        + "{\"atMillis\":5000,\"kind\":\"request.refused\","
+                        + "\"request\":\"ab\",\"cause\":\"paused\"}\n");
+        assertThat(run("logs", "explain", "ab", file.toString())).isZero();
+        assertThat(mOut.toString())
+                .contains("Cause: all upstreams of its service had refused requests")
+                .contains("-4990 ms  upstream.paused  upstream=u  forMillis=9000")
+                .doesNotContain("upstream=v");
+    }
+
     @Test
     void tellsThatTheInstanceOfARequestWasKilled() throws IOException {
         Path file = mDirectory.resolve("all.log");
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/NoticeCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/NoticeCodec.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.UpstreamIncarnation;
+import org.magnoliapick.limit.PauseUpdate;
+import org.magnoliapick.limit.UpstreamPause;
 import org.magnoliapick.member.UpdateSubject;
 import org.magnoliapick.pool.LeavingUpdate;
 import org.magnoliapick.pool.LeavingUpstream;
@@ -14,26 +16,34 @@
 import org.magnoliapick.rpc.gen.UseLeaving;
 import org.magnoliapick.rpc.gen.UseLeavingUpstream;
 import org.magnoliapick.rpc.gen.UsePacket;
+import org.magnoliapick.rpc.gen.UsePause;
+import org.magnoliapick.rpc.gen.UsePauses;
 import org.magnoliapick.rpc.gen.UseReport;
 
-/** Turns what upstreams stated about themselves into messages and back; times travel as ages. */
+/** Turns what upstreams stated about themselves into messages and back; times travel as spans. */
 final class NoticeCodec {
     private NoticeCodec() {}
 
     static void write(UpstreamNotices notices, UsePacket message, long nowMillis) {
         notices.leaving().ifPresent(each -> message.setLeaving(leaving(each, nowMillis)));
+        notices.pauses().ifPresent(each -> message.setPauses(pauses(each, nowMillis)));
     }
 
     static UpstreamNotices read(UsePacket message, long nowMillis) {
         return new UpstreamNotices(
                 message.isSetLeaving()
                         ? Optional.of(leaving(message.getLeaving(), nowMillis))
+                        : Optional.empty(),
+                message.isSetPauses()
+                        ? Optional.of(pauses(message.getPauses(), nowMillis))
                         : Optional.empty());
     }
 
     static void writeVersions(Map<UpdateSubject, Long> versions, UseReport message) {
         Optional.ofNullable(versions.get(UpdateSubject.LEAVING))
                 .ifPresent(message::setLeavingVersion);
+        Optional.ofNullable(versions.get(UpdateSubject.PAUSES))
+                .ifPresent(message::setPausesVersion);
     }
 
     static Map<UpdateSubject, Long> readVersions(UseReport message) {
@@ -41,6 +51,9 @@
         if (message.isSetLeavingVersion()) {
             versions.put(UpdateSubject.LEAVING, message.getLeavingVersion());
         }
+        if (message.isSetPausesVersion()) {
+            versions.put(UpdateSubject.PAUSES, message.getPausesVersion());
+        }
         return versions;
     }
 
@@ -56,15 +69,42 @@
         return message;
     }
 
+    private static UsePauses pauses(PauseUpdate update, long nowMillis) {
+        UsePauses message = new UsePauses(update.version());
+        for (UpstreamPause each : update.pauses()) {
+            message.addToPauses(
+                    new UsePause(
+                            each.incarnation().upstream().value(),
+                            each.incarnation().startedMillis(),
+                            each.endMillis() - nowMillis));
+        }
+        return message;
+    }
+
+    private static PauseUpdate pauses(UsePauses message, long nowMillis) {
+        List<UpstreamPause> pauses = new ArrayList<>();
+        if (message.isSetPauses()) {
+            for (UsePause each : message.getPauses()) {
+                pauses.add(
+                        new UpstreamPause(
+                                incarnation(each.getUpstream(), each.getStartedMillis()),
+                                nowMillis + each.getForMillis()));
+            }
+        }
+        return new PauseUpdate(message.getVersion(), pauses);
+    }
+
+    private static UpstreamIncarnation incarnation(String upstream, long startedMillis) {
+        return new UpstreamIncarnation(new UpstreamId(upstream), startedMillis);
+    }
+
     private static LeavingUpdate leaving(UseLeaving message, long nowMillis) {
         List<LeavingUpstream> upstreams = new ArrayList<>();
         if (message.isSetUpstreams()) {
             for (UseLeavingUpstream each : message.getUpstreams()) {
                 upstreams.add(
                         new LeavingUpstream(
-                                new UpstreamIncarnation(
-                                        new UpstreamId(each.getUpstream()),
-                                        each.getStartedMillis()),
+                                incarnation(each.getUpstream(), each.getStartedMillis()),
                                 nowMillis - each.getAgeMillis()));
             }
         }
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
@@ -24,6 +24,7 @@
   private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.STRUCT, (short)9);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.STRUCT, (short)10);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.STRUCT, (short)30);
+  private static final org.apache.thrift.protocol.TField PAUSES_FIELD_DESC = new org.apache.thrift.protocol.TField("pauses", org.apache.thrift.protocol.TType.STRUCT, (short)31);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UsePacketStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UsePacketTupleSchemeFactory();
@@ -39,6 +40,7 @@
   public @org.apache.thrift.annotation.Nullable UseSuspects suspects; // optional
   public @org.apache.thrift.annotation.Nullable UseRateLimits limits; // optional
   public @org.apache.thrift.annotation.Nullable UseLeaving leaving; // optional
+  public @org.apache.thrift.annotation.Nullable UsePauses pauses; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -52,7 +54,8 @@
     NEWS((short)8, "news"),
     SUSPECTS((short)9, "suspects"),
     LIMITS((short)10, "limits"),
-    LEAVING((short)30, "leaving");
+    LEAVING((short)30, "leaving"),
+    PAUSES((short)31, "pauses");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -90,6 +93,8 @@
           return LIMITS;
         case 30: // LEAVING
           return LEAVING;
+        case 31: // PAUSES
+          return PAUSES;
         default:
           return null;
       }
@@ -133,7 +138,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.REPORT,_Fields.GRANTS_TAKEN,_Fields.ASKS,_Fields.DECISIONS,_Fields.WITHDRAWALS,_Fields.NEWS,_Fields.SUSPECTS,_Fields.LIMITS,_Fields.LEAVING};
+  private static final _Fields optionals[] = {_Fields.REPORT,_Fields.GRANTS_TAKEN,_Fields.ASKS,_Fields.DECISIONS,_Fields.WITHDRAWALS,_Fields.NEWS,_Fields.SUSPECTS,_Fields.LIMITS,_Fields.LEAVING,_Fields.PAUSES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -164,6 +169,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseRateLimits.class)));
     tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseLeaving.class)));
+    tmpMap.put(_Fields.PAUSES, new org.apache.thrift.meta_data.FieldMetaData("pauses", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UsePauses.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UsePacket.class, metaDataMap);
   }
@@ -230,6 +237,9 @@
     if (other.isSetLeaving()) {
       this.leaving = new UseLeaving(other.leaving);
     }
+    if (other.isSetPauses()) {
+      this.pauses = new UsePauses(other.pauses);
+    }
   }
 
   @Override
@@ -250,6 +260,7 @@
     this.suspects = null;
     this.limits = null;
     this.leaving = null;
+    this.pauses = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -586,6 +597,31 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public UsePauses getPauses() {
+    return this.pauses;
+  }
+
+  public UsePacket setPauses(@org.apache.thrift.annotation.Nullable UsePauses pauses) {
+    this.pauses = pauses;
+    return this;
+  }
+
+  public void unsetPauses() {
+    this.pauses = null;
+  }
+
+  /** Returns true if field pauses is set (has been assigned a value) and false otherwise */
+  public boolean isSetPauses() {
+    return this.pauses != null;
+  }
+
+  public void setPausesIsSet(boolean value) {
+    if (!value) {
+      this.pauses = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -677,6 +713,14 @@
       }
       break;
 
+    case PAUSES:
+      if (value == null) {
+        unsetPauses();
+      } else {
+        setPauses((UsePauses)value);
+      }
+      break;
+
     }
   }
 
@@ -717,6 +761,9 @@
     case LEAVING:
       return getLeaving();
 
+    case PAUSES:
+      return getPauses();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -751,6 +798,8 @@
       return isSetLimits();
     case LEAVING:
       return isSetLeaving();
+    case PAUSES:
+      return isSetPauses();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -867,6 +916,15 @@
         return false;
     }
 
+    boolean this_present_pauses = true && this.isSetPauses();
+    boolean that_present_pauses = true && that.isSetPauses();
+    if (this_present_pauses || that_present_pauses) {
+      if (!(this_present_pauses && that_present_pauses))
+        return false;
+      if (!this.pauses.equals(that.pauses))
+        return false;
+    }
+
     return true;
   }
 
@@ -918,6 +976,10 @@
     if (isSetLeaving())
       hashCode = hashCode * 8191 + leaving.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetPauses()) ? 131071 : 524287);
+    if (isSetPauses())
+      hashCode = hashCode * 8191 + pauses.hashCode();
+
     return hashCode;
   }
 
@@ -1039,6 +1101,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPauses(), other.isSetPauses());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPauses()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.pauses, other.pauses);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1168,6 +1240,16 @@
       }
       first = false;
     }
+    if (isSetPauses()) {
+      if (!first) sb.append(", ");
+      sb.append("pauses:");
+      if (this.pauses == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.pauses);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1196,6 +1278,9 @@
     if (leaving != null) {
       leaving.validate();
     }
+    if (pauses != null) {
+      pauses.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -1262,15 +1347,15 @@
           case 4: // GRANTS_TAKEN
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map104 = iprot.readMapBegin();
-                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map104.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key105;
-                long _val106;
-                for (int _i107 = 0; _i107 < _map104.size; ++_i107)
+                org.apache.thrift.protocol.TMap _map112 = iprot.readMapBegin();
+                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map112.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key113;
+                long _val114;
+                for (int _i115 = 0; _i115 < _map112.size; ++_i115)
                 {
-                  _key105 = iprot.readString();
-                  _val106 = iprot.readI64();
-                  struct.grantsTaken.put(_key105, _val106);
+                  _key113 = iprot.readString();
+                  _val114 = iprot.readI64();
+                  struct.grantsTaken.put(_key113, _val114);
                 }
                 iprot.readMapEnd();
               }
@@ -1282,14 +1367,14 @@
           case 5: // ASKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list108 = iprot.readListBegin();
-                struct.asks = new java.util.ArrayList<UseAsk>(_list108.size);
-                @org.apache.thrift.annotation.Nullable UseAsk _elem109;
-                for (int _i110 = 0; _i110 < _list108.size; ++_i110)
+                org.apache.thrift.protocol.TList _list116 = iprot.readListBegin();
+                struct.asks = new java.util.ArrayList<UseAsk>(_list116.size);
+                @org.apache.thrift.annotation.Nullable UseAsk _elem117;
+                for (int _i118 = 0; _i118 < _list116.size; ++_i118)
                 {
-                  _elem109 = new UseAsk();
-                  _elem109.read(iprot);
-                  struct.asks.add(_elem109);
+                  _elem117 = new UseAsk();
+                  _elem117.read(iprot);
+                  struct.asks.add(_elem117);
                 }
                 iprot.readListEnd();
               }
@@ -1301,14 +1386,14 @@
           case 6: // DECISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list111 = iprot.readListBegin();
-                struct.decisions = new java.util.ArrayList<UseDecision>(_list111.size);
-                @org.apache.thrift.annotation.Nullable UseDecision _elem112;
-                for (int _i113 = 0; _i113 < _list111.size; ++_i113)
+                org.apache.thrift.protocol.TList _list119 = iprot.readListBegin();
+                struct.decisions = new java.util.ArrayList<UseDecision>(_list119.size);
+                @org.apache.thrift.annotation.Nullable UseDecision _elem120;
+                for (int _i121 = 0; _i121 < _list119.size; ++_i121)
                 {
-                  _elem112 = new UseDecision();
-                  _elem112.read(iprot);
-                  struct.decisions.add(_elem112);
+                  _elem120 = new UseDecision();
+                  _elem120.read(iprot);
+                  struct.decisions.add(_elem120);
                 }
                 iprot.readListEnd();
               }
@@ -1320,14 +1405,14 @@
           case 7: // WITHDRAWALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
-                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list114.size);
-                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem115;
-                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
+                org.apache.thrift.protocol.TList _list122 = iprot.readListBegin();
+                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list122.size);
+                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem123;
+                for (int _i124 = 0; _i124 < _list122.size; ++_i124)
                 {
-                  _elem115 = new UseWithdrawal();
-                  _elem115.read(iprot);
-                  struct.withdrawals.add(_elem115);
+                  _elem123 = new UseWithdrawal();
+                  _elem123.read(iprot);
+                  struct.withdrawals.add(_elem123);
                 }
                 iprot.readListEnd();
               }
@@ -1372,6 +1457,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 31: // PAUSES
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.pauses = new UsePauses();
+              struct.pauses.read(iprot);
+              struct.setPausesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1410,10 +1504,10 @@
           oprot.writeFieldBegin(GRANTS_TAKEN_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.grantsTaken.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter117 : struct.grantsTaken.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter125 : struct.grantsTaken.entrySet())
             {
-              oprot.writeString(_iter117.getKey());
-              oprot.writeI64(_iter117.getValue());
+              oprot.writeString(_iter125.getKey());
+              oprot.writeI64(_iter125.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1425,9 +1519,9 @@
           oprot.writeFieldBegin(ASKS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.asks.size()));
-            for (UseAsk _iter118 : struct.asks)
+            for (UseAsk _iter126 : struct.asks)
             {
-              _iter118.write(oprot);
+              _iter126.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1439,9 +1533,9 @@
           oprot.writeFieldBegin(DECISIONS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.decisions.size()));
-            for (UseDecision _iter119 : struct.decisions)
+            for (UseDecision _iter127 : struct.decisions)
             {
-              _iter119.write(oprot);
+              _iter127.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1453,9 +1547,9 @@
           oprot.writeFieldBegin(WITHDRAWALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.withdrawals.size()));
-            for (UseWithdrawal _iter120 : struct.withdrawals)
+            for (UseWithdrawal _iter128 : struct.withdrawals)
             {
-              _iter120.write(oprot);
+              _iter128.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1490,6 +1584,13 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.pauses != null) {
+        if (struct.isSetPauses()) {
+          oprot.writeFieldBegin(PAUSES_FIELD_DESC);
+          struct.pauses.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1538,44 +1639,47 @@
       if (struct.isSetLeaving()) {
         optionals.set(8);
       }
-      oprot.writeBitSet(optionals, 9);
+      if (struct.isSetPauses()) {
+        optionals.set(9);
+      }
+      oprot.writeBitSet(optionals, 10);
       if (struct.isSetReport()) {
         struct.report.write(oprot);
       }
       if (struct.isSetGrantsTaken()) {
         {
           oprot.writeI32(struct.grantsTaken.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter121 : struct.grantsTaken.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter129 : struct.grantsTaken.entrySet())
           {
-            oprot.writeString(_iter121.getKey());
-            oprot.writeI64(_iter121.getValue());
+            oprot.writeString(_iter129.getKey());
+            oprot.writeI64(_iter129.getValue());
           }
         }
       }
       if (struct.isSetAsks()) {
         {
           oprot.writeI32(struct.asks.size());
-          for (UseAsk _iter122 : struct.asks)
+          for (UseAsk _iter130 : struct.asks)
           {
-            _iter122.write(oprot);
+            _iter130.write(oprot);
           }
         }
       }
       if (struct.isSetDecisions()) {
         {
           oprot.writeI32(struct.decisions.size());
-          for (UseDecision _iter123 : struct.decisions)
+          for (UseDecision _iter131 : struct.decisions)
           {
-            _iter123.write(oprot);
+            _iter131.write(oprot);
           }
         }
       }
       if (struct.isSetWithdrawals()) {
         {
           oprot.writeI32(struct.withdrawals.size());
-          for (UseWithdrawal _iter124 : struct.withdrawals)
+          for (UseWithdrawal _iter132 : struct.withdrawals)
           {
-            _iter124.write(oprot);
+            _iter132.write(oprot);
           }
         }
       }
@@ -1591,6 +1695,9 @@
       if (struct.isSetLeaving()) {
         struct.leaving.write(oprot);
       }
+      if (struct.isSetPauses()) {
+        struct.pauses.write(oprot);
+      }
     }
 
     @Override
@@ -1600,7 +1707,7 @@
       struct.setFromInstanceIsSet(true);
       struct.address = iprot.readString();
       struct.setAddressIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(9);
+      java.util.BitSet incoming = iprot.readBitSet(10);
       if (incoming.get(0)) {
         struct.report = new UseReport();
         struct.report.read(iprot);
@@ -1608,57 +1715,57 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map125 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map125.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key126;
-          long _val127;
-          for (int _i128 = 0; _i128 < _map125.size; ++_i128)
+          org.apache.thrift.protocol.TMap _map133 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map133.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key134;
+          long _val135;
+          for (int _i136 = 0; _i136 < _map133.size; ++_i136)
           {
-            _key126 = iprot.readString();
-            _val127 = iprot.readI64();
-            struct.grantsTaken.put(_key126, _val127);
+            _key134 = iprot.readString();
+            _val135 = iprot.readI64();
+            struct.grantsTaken.put(_key134, _val135);
           }
         }
         struct.setGrantsTakenIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list129 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.asks = new java.util.ArrayList<UseAsk>(_list129.size);
-          @org.apache.thrift.annotation.Nullable UseAsk _elem130;
-          for (int _i131 = 0; _i131 < _list129.size; ++_i131)
+          org.apache.thrift.protocol.TList _list137 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.asks = new java.util.ArrayList<UseAsk>(_list137.size);
+          @org.apache.thrift.annotation.Nullable UseAsk _elem138;
+          for (int _i139 = 0; _i139 < _list137.size; ++_i139)
           {
-            _elem130 = new UseAsk();
-            _elem130.read(iprot);
-            struct.asks.add(_elem130);
+            _elem138 = new UseAsk();
+            _elem138.read(iprot);
+            struct.asks.add(_elem138);
           }
         }
         struct.setAsksIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list132 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.decisions = new java.util.ArrayList<UseDecision>(_list132.size);
-          @org.apache.thrift.annotation.Nullable UseDecision _elem133;
-          for (int _i134 = 0; _i134 < _list132.size; ++_i134)
+          org.apache.thrift.protocol.TList _list140 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.decisions = new java.util.ArrayList<UseDecision>(_list140.size);
+          @org.apache.thrift.annotation.Nullable UseDecision _elem141;
+          for (int _i142 = 0; _i142 < _list140.size; ++_i142)
           {
-            _elem133 = new UseDecision();
-            _elem133.read(iprot);
-            struct.decisions.add(_elem133);
+            _elem141 = new UseDecision();
+            _elem141.read(iprot);
+            struct.decisions.add(_elem141);
           }
         }
         struct.setDecisionsIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list135 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list135.size);
-          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem136;
-          for (int _i137 = 0; _i137 < _list135.size; ++_i137)
+          org.apache.thrift.protocol.TList _list143 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list143.size);
+          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem144;
+          for (int _i145 = 0; _i145 < _list143.size; ++_i145)
           {
-            _elem136 = new UseWithdrawal();
-            _elem136.read(iprot);
-            struct.withdrawals.add(_elem136);
+            _elem144 = new UseWithdrawal();
+            _elem144.read(iprot);
+            struct.withdrawals.add(_elem144);
           }
         }
         struct.setWithdrawalsIsSet(true);
@@ -1683,6 +1790,11 @@
         struct.leaving.read(iprot);
         struct.setLeavingIsSet(true);
       }
+      if (incoming.get(9)) {
+        struct.pauses = new UsePauses();
+        struct.pauses.read(iprot);
+        struct.setPausesIsSet(true);
+      }
     }
   }
 
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseReport.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseReport.java
@@ -30,6 +30,7 @@
   private static final org.apache.thrift.protocol.TField STORE_EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("storeEpoch", org.apache.thrift.protocol.TType.I64, (short)16);
   private static final org.apache.thrift.protocol.TField CONFIG_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("configVersion", org.apache.thrift.protocol.TType.I64, (short)17);
   private static final org.apache.thrift.protocol.TField LEAVING_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("leavingVersion", org.apache.thrift.protocol.TType.I64, (short)30);
+  private static final org.apache.thrift.protocol.TField PAUSES_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("pausesVersion", org.apache.thrift.protocol.TType.I64, (short)31);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UseReportStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UseReportTupleSchemeFactory();
@@ -75,6 +76,10 @@
    * Up to which version of the receiver's leaving upstreams the sender knows them.
    */
   public long leavingVersion; // optional
+  /**
+   * Up to which version of the receiver's pauses the sender knows them.
+   */
+  public long pausesVersion; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -118,7 +123,11 @@
     /**
      * Up to which version of the receiver's leaving upstreams the sender knows them.
      */
-    LEAVING_VERSION((short)30, "leavingVersion");
+    LEAVING_VERSION((short)30, "leavingVersion"),
+    /**
+     * Up to which version of the receiver's pauses the sender knows them.
+     */
+    PAUSES_VERSION((short)31, "pausesVersion");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -168,6 +177,8 @@
           return CONFIG_VERSION;
         case 30: // LEAVING_VERSION
           return LEAVING_VERSION;
+        case 31: // PAUSES_VERSION
+          return PAUSES_VERSION;
         default:
           return null;
       }
@@ -223,8 +234,9 @@
   private static final int __STOREEPOCH_ISSET_ID = 9;
   private static final int __CONFIGVERSION_ISSET_ID = 10;
   private static final int __LEAVINGVERSION_ISSET_ID = 11;
+  private static final int __PAUSESVERSION_ISSET_ID = 12;
   private short __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.WANTS_REPLY,_Fields.DECLINES_DUTY,_Fields.KNOWN_DIGEST,_Fields.MEMBERS,_Fields.LIST_OFFSET,_Fields.SUSPECTS_VERSION,_Fields.LIMITS_VERSION,_Fields.STORE_EPOCH,_Fields.CONFIG_VERSION,_Fields.LEAVING_VERSION};
+  private static final _Fields optionals[] = {_Fields.WANTS_REPLY,_Fields.DECLINES_DUTY,_Fields.KNOWN_DIGEST,_Fields.MEMBERS,_Fields.LIST_OFFSET,_Fields.SUSPECTS_VERSION,_Fields.LIMITS_VERSION,_Fields.STORE_EPOCH,_Fields.CONFIG_VERSION,_Fields.LEAVING_VERSION,_Fields.PAUSES_VERSION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -264,6 +276,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.LEAVING_VERSION, new org.apache.thrift.meta_data.FieldMetaData("leavingVersion", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PAUSES_VERSION, new org.apache.thrift.meta_data.FieldMetaData("pausesVersion", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UseReport.class, metaDataMap);
   }
@@ -333,6 +347,7 @@
     this.storeEpoch = other.storeEpoch;
     this.configVersion = other.configVersion;
     this.leavingVersion = other.leavingVersion;
+    this.pausesVersion = other.pausesVersion;
   }
 
   @Override
@@ -371,6 +386,8 @@
     this.configVersion = 0;
     setLeavingVersionIsSet(false);
     this.leavingVersion = 0;
+    setPausesVersionIsSet(false);
+    this.pausesVersion = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -854,6 +871,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEAVINGVERSION_ISSET_ID, value);
   }
 
+  /**
+   * Up to which version of the receiver's pauses the sender knows them.
+   */
+  public long getPausesVersion() {
+    return this.pausesVersion;
+  }
+
+  /**
+   * Up to which version of the receiver's pauses the sender knows them.
+   */
+  public UseReport setPausesVersion(long pausesVersion) {
+    this.pausesVersion = pausesVersion;
+    setPausesVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetPausesVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PAUSESVERSION_ISSET_ID);
+  }
+
+  /** Returns true if field pausesVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetPausesVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PAUSESVERSION_ISSET_ID);
+  }
+
+  public void setPausesVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PAUSESVERSION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -993,6 +1039,14 @@
       }
       break;
 
+    case PAUSES_VERSION:
+      if (value == null) {
+        unsetPausesVersion();
+      } else {
+        setPausesVersion((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -1051,6 +1105,9 @@
     case LEAVING_VERSION:
       return getLeavingVersion();
 
+    case PAUSES_VERSION:
+      return getPausesVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1097,6 +1154,8 @@
       return isSetConfigVersion();
     case LEAVING_VERSION:
       return isSetLeavingVersion();
+    case PAUSES_VERSION:
+      return isSetPausesVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1267,6 +1326,15 @@
         return false;
     }
 
+    boolean this_present_pausesVersion = true && this.isSetPausesVersion();
+    boolean that_present_pausesVersion = true && that.isSetPausesVersion();
+    if (this_present_pausesVersion || that_present_pausesVersion) {
+      if (!(this_present_pausesVersion && that_present_pausesVersion))
+        return false;
+      if (this.pausesVersion != that.pausesVersion)
+        return false;
+    }
+
     return true;
   }
 
@@ -1336,6 +1404,10 @@
     if (isSetLeavingVersion())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(leavingVersion);
 
+    hashCode = hashCode * 8191 + ((isSetPausesVersion()) ? 131071 : 524287);
+    if (isSetPausesVersion())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(pausesVersion);
+
     return hashCode;
   }
 
@@ -1517,6 +1589,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPausesVersion(), other.isSetPausesVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPausesVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.pausesVersion, other.pausesVersion);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1648,6 +1730,12 @@
       sb.append(this.leavingVersion);
       first = false;
     }
+    if (isSetPausesVersion()) {
+      if (!first) sb.append(", ");
+      sb.append("pausesVersion:");
+      sb.append(this.pausesVersion);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1868,6 +1956,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 31: // PAUSES_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.pausesVersion = iprot.readI64();
+              struct.setPausesVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1988,6 +2084,11 @@
         oprot.writeI64(struct.leavingVersion);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetPausesVersion()) {
+        oprot.writeFieldBegin(PAUSES_VERSION_FIELD_DESC);
+        oprot.writeI64(struct.pausesVersion);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2050,7 +2151,10 @@
       if (struct.isSetLeavingVersion()) {
         optionals.set(9);
       }
-      oprot.writeBitSet(optionals, 10);
+      if (struct.isSetPausesVersion()) {
+        optionals.set(10);
+      }
+      oprot.writeBitSet(optionals, 11);
       if (struct.isSetWantsReply()) {
         oprot.writeBool(struct.wantsReply);
       }
@@ -2087,6 +2191,9 @@
       if (struct.isSetLeavingVersion()) {
         oprot.writeI64(struct.leavingVersion);
       }
+      if (struct.isSetPausesVersion()) {
+        oprot.writeI64(struct.pausesVersion);
+      }
     }
 
     @Override
@@ -2116,7 +2223,7 @@
       struct.setAddressIsSet(true);
       struct.milliCores = iprot.readI32();
       struct.setMilliCoresIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(10);
+      java.util.BitSet incoming = iprot.readBitSet(11);
       if (incoming.get(0)) {
         struct.wantsReply = iprot.readBool();
         struct.setWantsReplyIsSet(true);
@@ -2167,6 +2274,10 @@
         struct.leavingVersion = iprot.readI64();
         struct.setLeavingVersionIsSet(true);
       }
+      if (incoming.get(10)) {
+        struct.pausesVersion = iprot.readI64();
+        struct.setPausesVersionIsSet(true);
+      }
     }
   }
 
--- a/magnoliapick-rpc/src/main/thrift/use.thrift
+++ b/magnoliapick-rpc/src/main/thrift/use.thrift
@@ -66,6 +66,8 @@
   17: optional i64 configVersion
   /** Up to which version of the receiver's leaving upstreams the sender knows them. */
   30: optional i64 leavingVersion
+  /** Up to which version of the receiver's pauses the sender knows them. */
+  31: optional i64 pausesVersion
 }
 
 /** A record of the list of upstreams; without a value its key was dropped. */
@@ -178,6 +180,19 @@
   2: optional list<UseLeavingUpstream> upstreams
 }
 
+/** How long an upstream wants no requests of the sender. */
+struct UsePause {
+  1: required string upstream
+  2: required i64 startedMillis
+  3: required i64 forMillis
+}
+
+/** The pauses that upstreams asked the sender for and that the receiver does not know of. */
+struct UsePauses {
+  1: required i64 version
+  2: optional list<UsePause> pauses
+}
+
 /** One datagram. */
 struct UsePacket {
   1: required string fromInstance
@@ -191,4 +206,5 @@
   9: optional UseSuspects suspects
   10: optional UseRateLimits limits
   30: optional UseLeaving leaving
+  31: optional UsePauses pauses
 }
--- a/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -18,8 +18,10 @@
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.UpstreamIncarnation;
 import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.limit.PauseUpdate;
 import org.magnoliapick.limit.RateLimit;
 import org.magnoliapick.limit.RateLimitUpdate;
+import org.magnoliapick.limit.UpstreamPause;
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.StorePosition;
 import org.magnoliapick.member.StoreUpdate;
@@ -95,7 +97,10 @@
                                 19,
                                 List.of(
                                         new LeavingUpstream(incarnation("u", 12), 900),
-                                        new LeavingUpstream(incarnation("v", 13), 800)))));
+                                        new LeavingUpstream(incarnation("v", 13), 800)))),
+                Optional.of(
+                        new PauseUpdate(
+                                21, List.of(new UpstreamPause(incarnation("u", 12), 3_000)))));
     }
 
     private static InstancePacket packet() {
@@ -125,7 +130,7 @@
                                 new StorePosition(2, 10, 17),
                                 11,
                                 13,
-                                Map.of(UpdateSubject.LEAVING, 18L),
+                                Map.of(UpdateSubject.LEAVING, 18L, UpdateSubject.PAUSES, 20L),
                                 List.of(member))),
                 Map.of("s", 8L),
                 Optional.of(new StoreUpdate(2, 6, 9, 20, List.of(put, dropped), 3, 400)),
@@ -157,7 +162,9 @@
         CompactBytes bytes = new CompactBytes(10_000);
         UsePacket message = bytes.read(new UsePacket(), UsePacketCodec.encode(packet(), 1_000));
         message.unsetLeaving();
+        message.unsetPauses();
         message.getReport().unsetLeavingVersion();
+        message.getReport().unsetPausesVersion();
         InstancePacket read = UsePacketCodec.decode(bytes.write(message), TO, 1_000).orElseThrow();
         assertThat(read.notices()).isEqualTo(UpstreamNotices.NONE);
         assertThat(read.report().orElseThrow().knownVersions()).isEmpty();
