--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Refusals.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Refusals.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.ToLongFunction;
 
 /**
@@ -43,12 +44,14 @@
      * Removes and refuses the waiting requests that will be late.
      *
      * @param cause the reason why they cannot be served
+     * @param atOnce whether waiting is of no use, not even for a short time
      * @param firstEventMillis estimates the time from now to a request's first event, in
      *     milliseconds
      * @param throughput what all upstreams can do together
      */
     List<PoolAction> refuseLate(
             PoolCause cause,
+            boolean atOnce,
             ToLongFunction<PoolJob> firstEventMillis,
             Throughput throughput,
             long nowMillis) {
@@ -64,7 +67,7 @@
         while (order.hasNext()) {
             WaitingJob entry = order.next();
             long waitMillis = waitMillis(tokensBefore, requestsBefore, throughput, nowMillis);
-            if (isLate(entry, waitMillis, firstEventMillis, nowMillis)) {
+            if (isLate(entry, atOnce, waitMillis, firstEventMillis, nowMillis)) {
                 refusals.add(refuse(entry.job(), cause, throughput, nowMillis));
             } else {
                 tokensBefore += entry.job().prompt().promptTokens();
@@ -75,13 +78,43 @@
         return refusals;
     }
 
+    /**
+     * Removes and refuses the waiting requests of instances of which no upstream takes requests for
+     * longer than such a request may wait.
+     */
+    List<PoolAction> refusePaused(PoolPauses pauses, Throughput throughput, long nowMillis) {
+        List<PoolAction> refusals = new ArrayList<>();
+        for (PoolJob job : mWaiting.jobs()) {
+            OptionalLong untilMillis = pauses.untilAnyMillis(job, nowMillis);
+            long waitedMillis = nowMillis - job.submittedMillis();
+            if (!job.answerStarted()
+                    && untilMillis.isPresent()
+                    && waitedMillis + untilMillis.getAsLong() > minWaitMillis(job)) {
+                long retryAfterMillis = retryAfterMillis(job, throughput, nowMillis);
+                refusals.add(
+                        new PoolAction.Refuse(
+                                job,
+                                Math.min(untilMillis.getAsLong(), retryAfterMillis),
+                                PoolCause.PAUSED));
+            }
+        }
+        refusals.forEach(each -> mWaiting.remove(each.job()));
+        return refusals;
+    }
+
+    /** Returns how long a request waits before it can be refused as too late, in milliseconds. */
+    private static long minWaitMillis(PoolJob job) {
+        return (long) (job.objectiveMillis() * MIN_WAIT_FRACTION);
+    }
+
     private static boolean isLate(
             WaitingJob entry,
+            boolean atOnce,
             long waitMillis,
             ToLongFunction<PoolJob> firstEventMillis,
             long nowMillis) {
         PoolJob job = entry.job();
-        long minWaitMillis = (long) (job.objectiveMillis() * MIN_WAIT_FRACTION);
+        long minWaitMillis = atOnce ? 0 : minWaitMillis(job);
         if (job.answerStarted() || nowMillis - job.submittedMillis() < minWaitMillis) {
             return false;
         }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
@@ -2,16 +2,49 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.limit.RateLimit;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.quarantine.PromptQuarantine;
+import org.magnoliapick.relay.RelayRequest;
 
 /** What an instance of a fleet in virtual time learns from others, and up to which version. */
 final class FakeKnowledge {
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final RateLimits mRateLimits = new RateLimits();
+    private final UpstreamPauses mPauses = new UpstreamPauses();
+    private final long mStartedMillis;
+    private final Map<FakeKnowledge, Long> mReceivedPauses = new HashMap<>();
+    private final LeavingUpstreams mLeaving = new LeavingUpstreams();
+    private final Map<FakeKnowledge, Long> mReceivedLeaving = new HashMap<>();
     private final Map<FakeKnowledge, Long> mReceivedSuspects = new HashMap<>();
     private final Map<FakeKnowledge, Long> mReceivedLimits = new HashMap<>();
 
+    FakeKnowledge(long startedMillis) {
+        mStartedMillis = startedMillis;
+    }
+
+    UpstreamPauses pauses() {
+        return mPauses;
+    }
+
+    void recordRefusal(FakeEngine engine, RelayRequest request, long pauseMillis, long nowMillis) {
+        mPauses.record(engine.upstream().incarnation(), request.id(), pauseMillis, nowMillis);
+    }
+
+    /** Sends the own pauses that a dispatcher lacks. */
+    void sendPausesTo(FakeKnowledge to, InstanceId name, long nowMillis) {
+        mPauses.tick(nowMillis);
+        to.mPauses.reportReceived(name, mStartedMillis);
+        mPauses.updateFor(to.mReceivedPauses.getOrDefault(this, 0L))
+                .ifPresent(
+                        update -> {
+                            to.mPauses.applyUpdate(name, mStartedMillis, update, nowMillis);
+                            to.mReceivedPauses.put(this, update.version());
+                        });
+    }
+
     PromptQuarantine quarantine() {
         return mQuarantine;
     }
@@ -20,8 +53,51 @@
         return mRateLimits;
     }
 
+    LeavingUpstreams leaving() {
+        return mLeaving;
+    }
+
+    /**
+     * Records the answer of an engine to a request; returns whether the engine stated something
+     * that was unknown.
+     */
+    boolean recordAnswer(FakeEngine engine, RelayRequest request, long sentMillis, long nowMillis) {
+        ListedUpstream upstream = engine.upstream();
+        mRateLimits.record(
+                new RateLimit(
+                        upstream.id(), upstream.startedMillis(), engine.rateLimit(), nowMillis),
+                request.id(),
+                sentMillis);
+        mQuarantine.recordAnswer("s", request.prompt(), nowMillis);
+        return engine.isLeaving() && mLeaving.record(upstream, request.id(), nowMillis);
+    }
+
+    void recordCrash(RelayRequest request, ListedUpstream upstream, long crashedMillis) {
+        mQuarantine.recordCrash(
+                "s",
+                request.prompt(),
+                request.id(),
+                upstream.id(),
+                upstream.startedMillis(),
+                crashedMillis);
+    }
+
+    boolean isQuarantined(RelayRequest request, long nowMillis) {
+        return mQuarantine.find("s", request.prompt(), nowMillis).isPresent();
+    }
+
+    boolean mayRetry(RelayRequest request) {
+        return mQuarantine.mayRetry("s", request.prompt(), request.id());
+    }
+
     /** Sends what another instance lacks. */
-    void sendTo(FakeKnowledge to, String name) {
+    void sendTo(FakeKnowledge to, String name, long nowMillis) {
+        mLeaving.updateFor(to.mReceivedLeaving.getOrDefault(this, 0L))
+                .ifPresent(
+                        update -> {
+                            to.mLeaving.applyUpdate(update, name, nowMillis);
+                            to.mReceivedLeaving.put(this, update.version());
+                        });
         mQuarantine
                 .updateFor(to.mReceivedSuspects.getOrDefault(this, 0L))
                 .ifPresent(
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -72,6 +72,12 @@
             mRelay.connections().release(mUpstream, connection, mContext.nowMillis());
             return;
         }
+        if (!mRelay.mayBeSent(mUpstream)) {
+            mEnded = true;
+            returnConnection(connection);
+            mRelay.placeAgain();
+            return;
+        }
         mConnection = connection;
         mResumed = mRelay.attempts().isHeadRelayed();
         mStallWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
@@ -154,6 +160,7 @@
             return false;
         }
         recordRateLimit(head, parsedHead);
+        mRelay.statements().record(mUpstream, head.status(), parsedHead, mRequest.id());
         mResponse = head;
         mParsedHead = parsedHead;
         boolean success = isSuccess(head.status()) && parsedHead.signed() && !parsedHead.notRun();
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
@@ -70,6 +70,10 @@
                 head.headers().contains("Signed"),
                 Stream.ofNullable(head.headers().get("Rate-Limit"))
                         .mapToDouble(Double::parseDouble)
+                        .findFirst(),
+                head.headers().contains("Leaving"),
+                Stream.ofNullable(head.headers().get("Pause"))
+                        .mapToLong(Long::parseLong)
                         .findFirst());
     }
 
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/peer/PeerSocketTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/peer/PeerSocketTest.java
@@ -24,6 +24,7 @@
 import org.magnoliapick.gateway.internal.relay.Pools;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.StorePosition;
 import org.magnoliapick.member.StoreRelay;
@@ -32,6 +33,7 @@
 import org.magnoliapick.pool.InstanceReport;
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.UpstreamDirectory;
+import org.magnoliapick.pool.UpstreamNotices;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.rpc.UsePacketCodec;
 
@@ -74,6 +76,7 @@
                         new UpstreamDirectory(),
                         new PromptQuarantine(),
                         new RateLimits(),
+                        new UpstreamPauses(),
                         action -> {});
         return new PeerSocket(
                 mLoop,
@@ -116,6 +119,7 @@
                         StorePosition.UNKNOWN,
                         0,
                         0,
+                        Map.of(),
                         known);
         InstancePacket packet =
                 new InstancePacket(
@@ -126,6 +130,7 @@
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty(),
+                        UpstreamNotices.NONE,
                         List.of());
         return UsePacketCodec.encode(packet, CLOCK.getAsLong());
     }
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
@@ -23,6 +23,8 @@
   private static final org.apache.thrift.protocol.TField NEWS_FIELD_DESC = new org.apache.thrift.protocol.TField("news", org.apache.thrift.protocol.TType.STRUCT, (short)8);
   private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.STRUCT, (short)9);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.STRUCT, (short)10);
+  private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.STRUCT, (short)30);
+  private static final org.apache.thrift.protocol.TField PAUSES_FIELD_DESC = new org.apache.thrift.protocol.TField("pauses", org.apache.thrift.protocol.TType.STRUCT, (short)31);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UsePacketStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UsePacketTupleSchemeFactory();
@@ -37,6 +39,8 @@
   public @org.apache.thrift.annotation.Nullable UseStoreNews news; // optional
   public @org.apache.thrift.annotation.Nullable UseSuspects suspects; // optional
   public @org.apache.thrift.annotation.Nullable UseRateLimits limits; // optional
+  public @org.apache.thrift.annotation.Nullable UseLeaving leaving; // optional
+  public @org.apache.thrift.annotation.Nullable UsePauses pauses; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -49,7 +53,9 @@
     WITHDRAWALS((short)7, "withdrawals"),
     NEWS((short)8, "news"),
     SUSPECTS((short)9, "suspects"),
-    LIMITS((short)10, "limits");
+    LIMITS((short)10, "limits"),
+    LEAVING((short)30, "leaving"),
+    PAUSES((short)31, "pauses");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -85,6 +91,10 @@
           return SUSPECTS;
         case 10: // LIMITS
           return LIMITS;
+        case 30: // LEAVING
+          return LEAVING;
+        case 31: // PAUSES
+          return PAUSES;
         default:
           return null;
       }
@@ -128,7 +138,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.REPORT,_Fields.GRANTS_TAKEN,_Fields.ASKS,_Fields.DECISIONS,_Fields.WITHDRAWALS,_Fields.NEWS,_Fields.SUSPECTS,_Fields.LIMITS};
+  private static final _Fields optionals[] = {_Fields.REPORT,_Fields.GRANTS_TAKEN,_Fields.ASKS,_Fields.DECISIONS,_Fields.WITHDRAWALS,_Fields.NEWS,_Fields.SUSPECTS,_Fields.LIMITS,_Fields.LEAVING,_Fields.PAUSES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -157,6 +167,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseSuspects.class)));
     tmpMap.put(_Fields.LIMITS, new org.apache.thrift.meta_data.FieldMetaData("limits", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseRateLimits.class)));
+    tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseLeaving.class)));
+    tmpMap.put(_Fields.PAUSES, new org.apache.thrift.meta_data.FieldMetaData("pauses", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UsePauses.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UsePacket.class, metaDataMap);
   }
@@ -220,6 +234,12 @@
     if (other.isSetLimits()) {
       this.limits = new UseRateLimits(other.limits);
     }
+    if (other.isSetLeaving()) {
+      this.leaving = new UseLeaving(other.leaving);
+    }
+    if (other.isSetPauses()) {
+      this.pauses = new UsePauses(other.pauses);
+    }
   }
 
   @Override
@@ -239,6 +259,8 @@
     this.news = null;
     this.suspects = null;
     this.limits = null;
+    this.leaving = null;
+    this.pauses = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -550,6 +572,56 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public UseLeaving getLeaving() {
+    return this.leaving;
+  }
+
+  public UsePacket setLeaving(@org.apache.thrift.annotation.Nullable UseLeaving leaving) {
+    this.leaving = leaving;
+    return this;
+  }
+
+  public void unsetLeaving() {
+    this.leaving = null;
+  }
+
+  /** Returns true if field leaving is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaving() {
+    return this.leaving != null;
+  }
+
+  public void setLeavingIsSet(boolean value) {
+    if (!value) {
+      this.leaving = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public UsePauses getPauses() {
+    return this.pauses;
+  }
+
+  public UsePacket setPauses(@org.apache.thrift.annotation.Nullable UsePauses pauses) {
+    this.pauses = pauses;
+    return this;
+  }
+
+  public void unsetPauses() {
+    this.pauses = null;
+  }
+
+  /** Returns true if field pauses is set (has been assigned a value) and false otherwise */
+  public boolean isSetPauses() {
+    return this.pauses != null;
+  }
+
+  public void setPausesIsSet(boolean value) {
+    if (!value) {
+      this.pauses = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -633,6 +705,22 @@
       }
       break;
 
+    case LEAVING:
+      if (value == null) {
+        unsetLeaving();
+      } else {
+        setLeaving((UseLeaving)value);
+      }
+      break;
+
+    case PAUSES:
+      if (value == null) {
+        unsetPauses();
+      } else {
+        setPauses((UsePauses)value);
+      }
+      break;
+
     }
   }
 
@@ -670,6 +758,12 @@
     case LIMITS:
       return getLimits();
 
+    case LEAVING:
+      return getLeaving();
+
+    case PAUSES:
+      return getPauses();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -702,6 +796,10 @@
       return isSetSuspects();
     case LIMITS:
       return isSetLimits();
+    case LEAVING:
+      return isSetLeaving();
+    case PAUSES:
+      return isSetPauses();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -809,6 +907,24 @@
         return false;
     }
 
+    boolean this_present_leaving = true && this.isSetLeaving();
+    boolean that_present_leaving = true && that.isSetLeaving();
+    if (this_present_leaving || that_present_leaving) {
+      if (!(this_present_leaving && that_present_leaving))
+        return false;
+      if (!this.leaving.equals(that.leaving))
+        return false;
+    }
+
+    boolean this_present_pauses = true && this.isSetPauses();
+    boolean that_present_pauses = true && that.isSetPauses();
+    if (this_present_pauses || that_present_pauses) {
+      if (!(this_present_pauses && that_present_pauses))
+        return false;
+      if (!this.pauses.equals(that.pauses))
+        return false;
+    }
+
     return true;
   }
 
@@ -856,6 +972,14 @@
     if (isSetLimits())
       hashCode = hashCode * 8191 + limits.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetLeaving()) ? 131071 : 524287);
+    if (isSetLeaving())
+      hashCode = hashCode * 8191 + leaving.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetPauses()) ? 131071 : 524287);
+    if (isSetPauses())
+      hashCode = hashCode * 8191 + pauses.hashCode();
+
     return hashCode;
   }
 
@@ -967,6 +1091,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeaving(), other.isSetLeaving());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaving()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaving, other.leaving);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPauses(), other.isSetPauses());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPauses()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.pauses, other.pauses);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1086,6 +1230,26 @@
       }
       first = false;
     }
+    if (isSetLeaving()) {
+      if (!first) sb.append(", ");
+      sb.append("leaving:");
+      if (this.leaving == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.leaving);
+      }
+      first = false;
+    }
+    if (isSetPauses()) {
+      if (!first) sb.append(", ");
+      sb.append("pauses:");
+      if (this.pauses == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.pauses);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1111,6 +1275,12 @@
     if (limits != null) {
       limits.validate();
     }
+    if (leaving != null) {
+      leaving.validate();
+    }
+    if (pauses != null) {
+      pauses.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -1177,15 +1347,15 @@
           case 4: // GRANTS_TAKEN
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map96 = iprot.readMapBegin();
-                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map96.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key97;
-                long _val98;
-                for (int _i99 = 0; _i99 < _map96.size; ++_i99)
+                org.apache.thrift.protocol.TMap _map112 = iprot.readMapBegin();
+                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map112.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key113;
+                long _val114;
+                for (int _i115 = 0; _i115 < _map112.size; ++_i115)
                 {
-                  _key97 = iprot.readString();
-                  _val98 = iprot.readI64();
-                  struct.grantsTaken.put(_key97, _val98);
+                  _key113 = iprot.readString();
+                  _val114 = iprot.readI64();
+                  struct.grantsTaken.put(_key113, _val114);
                 }
                 iprot.readMapEnd();
               }
@@ -1197,14 +1367,14 @@
           case 5: // ASKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list100 = iprot.readListBegin();
-                struct.asks = new java.util.ArrayList<UseAsk>(_list100.size);
-                @org.apache.thrift.annotation.Nullable UseAsk _elem101;
-                for (int _i102 = 0; _i102 < _list100.size; ++_i102)
+                org.apache.thrift.protocol.TList _list116 = iprot.readListBegin();
+                struct.asks = new java.util.ArrayList<UseAsk>(_list116.size);
+                @org.apache.thrift.annotation.Nullable UseAsk _elem117;
+                for (int _i118 = 0; _i118 < _list116.size; ++_i118)
                 {
-                  _elem101 = new UseAsk();
-                  _elem101.read(iprot);
-                  struct.asks.add(_elem101);
+                  _elem117 = new UseAsk();
+                  _elem117.read(iprot);
+                  struct.asks.add(_elem117);
                 }
                 iprot.readListEnd();
               }
@@ -1216,14 +1386,14 @@
           case 6: // DECISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list103 = iprot.readListBegin();
-                struct.decisions = new java.util.ArrayList<UseDecision>(_list103.size);
-                @org.apache.thrift.annotation.Nullable UseDecision _elem104;
-                for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+                org.apache.thrift.protocol.TList _list119 = iprot.readListBegin();
+                struct.decisions = new java.util.ArrayList<UseDecision>(_list119.size);
+                @org.apache.thrift.annotation.Nullable UseDecision _elem120;
+                for (int _i121 = 0; _i121 < _list119.size; ++_i121)
                 {
-                  _elem104 = new UseDecision();
-                  _elem104.read(iprot);
-                  struct.decisions.add(_elem104);
+                  _elem120 = new UseDecision();
+                  _elem120.read(iprot);
+                  struct.decisions.add(_elem120);
                 }
                 iprot.readListEnd();
               }
@@ -1235,14 +1405,14 @@
           case 7: // WITHDRAWALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
-                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list106.size);
-                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem107;
-                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
+                org.apache.thrift.protocol.TList _list122 = iprot.readListBegin();
+                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list122.size);
+                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem123;
+                for (int _i124 = 0; _i124 < _list122.size; ++_i124)
                 {
-                  _elem107 = new UseWithdrawal();
-                  _elem107.read(iprot);
-                  struct.withdrawals.add(_elem107);
+                  _elem123 = new UseWithdrawal();
+                  _elem123.read(iprot);
+                  struct.withdrawals.add(_elem123);
                 }
                 iprot.readListEnd();
               }
@@ -1278,6 +1448,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 30: // LEAVING
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.leaving = new UseLeaving();
+              struct.leaving.read(iprot);
+              struct.setLeavingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 31: // PAUSES
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.pauses = new UsePauses();
+              struct.pauses.read(iprot);
+              struct.setPausesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1316,10 +1504,10 @@
           oprot.writeFieldBegin(GRANTS_TAKEN_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.grantsTaken.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter109 : struct.grantsTaken.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter125 : struct.grantsTaken.entrySet())
             {
-              oprot.writeString(_iter109.getKey());
-              oprot.writeI64(_iter109.getValue());
+              oprot.writeString(_iter125.getKey());
+              oprot.writeI64(_iter125.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1331,9 +1519,9 @@
           oprot.writeFieldBegin(ASKS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.asks.size()));
-            for (UseAsk _iter110 : struct.asks)
+            for (UseAsk _iter126 : struct.asks)
             {
-              _iter110.write(oprot);
+              _iter126.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1345,9 +1533,9 @@
           oprot.writeFieldBegin(DECISIONS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.decisions.size()));
-            for (UseDecision _iter111 : struct.decisions)
+            for (UseDecision _iter127 : struct.decisions)
             {
-              _iter111.write(oprot);
+              _iter127.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1359,9 +1547,9 @@
           oprot.writeFieldBegin(WITHDRAWALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.withdrawals.size()));
-            for (UseWithdrawal _iter112 : struct.withdrawals)
+            for (UseWithdrawal _iter128 : struct.withdrawals)
             {
-              _iter112.write(oprot);
+              _iter128.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1389,6 +1577,20 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.leaving != null) {
+        if (struct.isSetLeaving()) {
+          oprot.writeFieldBegin(LEAVING_FIELD_DESC);
+          struct.leaving.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.pauses != null) {
+        if (struct.isSetPauses()) {
+          oprot.writeFieldBegin(PAUSES_FIELD_DESC);
+          struct.pauses.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1434,44 +1636,50 @@
       if (struct.isSetLimits()) {
         optionals.set(7);
       }
-      oprot.writeBitSet(optionals, 8);
+      if (struct.isSetLeaving()) {
+        optionals.set(8);
+      }
+      if (struct.isSetPauses()) {
+        optionals.set(9);
+      }
+      oprot.writeBitSet(optionals, 10);
       if (struct.isSetReport()) {
         struct.report.write(oprot);
       }
       if (struct.isSetGrantsTaken()) {
         {
           oprot.writeI32(struct.grantsTaken.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter113 : struct.grantsTaken.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter129 : struct.grantsTaken.entrySet())
           {
-            oprot.writeString(_iter113.getKey());
-            oprot.writeI64(_iter113.getValue());
+            oprot.writeString(_iter129.getKey());
+            oprot.writeI64(_iter129.getValue());
           }
         }
       }
       if (struct.isSetAsks()) {
         {
           oprot.writeI32(struct.asks.size());
-          for (UseAsk _iter114 : struct.asks)
+          for (UseAsk _iter130 : struct.asks)
           {
-            _iter114.write(oprot);
+            _iter130.write(oprot);
           }
         }
       }
       if (struct.isSetDecisions()) {
         {
           oprot.writeI32(struct.decisions.size());
-          for (UseDecision _iter115 : struct.decisions)
+          for (UseDecision _iter131 : struct.decisions)
           {
-            _iter115.write(oprot);
+            _iter131.write(oprot);
           }
         }
       }
       if (struct.isSetWithdrawals()) {
         {
           oprot.writeI32(struct.withdrawals.size());
-          for (UseWithdrawal _iter116 : struct.withdrawals)
+          for (UseWithdrawal _iter132 : struct.withdrawals)
           {
-            _iter116.write(oprot);
+            _iter132.write(oprot);
           }
         }
       }
@@ -1484,6 +1692,12 @@
       if (struct.isSetLimits()) {
         struct.limits.write(oprot);
       }
+      if (struct.isSetLeaving()) {
+        struct.leaving.write(oprot);
+      }
+      if (struct.isSetPauses()) {
+        struct.pauses.write(oprot);
+      }
     }
 
     @Override
@@ -1493,7 +1707,7 @@
       struct.setFromInstanceIsSet(true);
       struct.address = iprot.readString();
       struct.setAddressIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(8);
+      java.util.BitSet incoming = iprot.readBitSet(10);
       if (incoming.get(0)) {
         struct.report = new UseReport();
         struct.report.read(iprot);
@@ -1501,57 +1715,57 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map117 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map117.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key118;
-          long _val119;
-          for (int _i120 = 0; _i120 < _map117.size; ++_i120)
+          org.apache.thrift.protocol.TMap _map133 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map133.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key134;
+          long _val135;
+          for (int _i136 = 0; _i136 < _map133.size; ++_i136)
           {
-            _key118 = iprot.readString();
-            _val119 = iprot.readI64();
-            struct.grantsTaken.put(_key118, _val119);
+            _key134 = iprot.readString();
+            _val135 = iprot.readI64();
+            struct.grantsTaken.put(_key134, _val135);
           }
         }
         struct.setGrantsTakenIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list121 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.asks = new java.util.ArrayList<UseAsk>(_list121.size);
-          @org.apache.thrift.annotation.Nullable UseAsk _elem122;
-          for (int _i123 = 0; _i123 < _list121.size; ++_i123)
+          org.apache.thrift.protocol.TList _list137 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.asks = new java.util.ArrayList<UseAsk>(_list137.size);
+          @org.apache.thrift.annotation.Nullable UseAsk _elem138;
+          for (int _i139 = 0; _i139 < _list137.size; ++_i139)
           {
-            _elem122 = new UseAsk();
-            _elem122.read(iprot);
-            struct.asks.add(_elem122);
+            _elem138 = new UseAsk();
+            _elem138.read(iprot);
+            struct.asks.add(_elem138);
           }
         }
         struct.setAsksIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list124 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.decisions = new java.util.ArrayList<UseDecision>(_list124.size);
-          @org.apache.thrift.annotation.Nullable UseDecision _elem125;
-          for (int _i126 = 0; _i126 < _list124.size; ++_i126)
+          org.apache.thrift.protocol.TList _list140 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.decisions = new java.util.ArrayList<UseDecision>(_list140.size);
+          @org.apache.thrift.annotation.Nullable UseDecision _elem141;
+          for (int _i142 = 0; _i142 < _list140.size; ++_i142)
           {
-            _elem125 = new UseDecision();
-            _elem125.read(iprot);
-            struct.decisions.add(_elem125);
+            _elem141 = new UseDecision();
+            _elem141.read(iprot);
+            struct.decisions.add(_elem141);
           }
         }
         struct.setDecisionsIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list127 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list127.size);
-          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem128;
-          for (int _i129 = 0; _i129 < _list127.size; ++_i129)
+          org.apache.thrift.protocol.TList _list143 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list143.size);
+          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem144;
+          for (int _i145 = 0; _i145 < _list143.size; ++_i145)
           {
-            _elem128 = new UseWithdrawal();
-            _elem128.read(iprot);
-            struct.withdrawals.add(_elem128);
+            _elem144 = new UseWithdrawal();
+            _elem144.read(iprot);
+            struct.withdrawals.add(_elem144);
           }
         }
         struct.setWithdrawalsIsSet(true);
@@ -1571,6 +1785,16 @@
         struct.limits.read(iprot);
         struct.setLimitsIsSet(true);
       }
+      if (incoming.get(8)) {
+        struct.leaving = new UseLeaving();
+        struct.leaving.read(iprot);
+        struct.setLeavingIsSet(true);
+      }
+      if (incoming.get(9)) {
+        struct.pauses = new UsePauses();
+        struct.pauses.read(iprot);
+        struct.setPausesIsSet(true);
+      }
     }
   }
 
