Log why a caller's connection is closed

caller.closed names the reason, how long the connection was idle and the limit; caller.fault names the path and whether a request was being answered. Both tell the hypotheses on lost requests apart: no line said that a connection was closed as idle. No change of behaviour.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -289,6 +289,8 @@
         if (!(cause instanceof IOException)) {
             mServer.log()
                     .line("caller.fault")
+                    .with("path", mHead == null ? "" : mHead.uri())
+                    .with("responding", mResponding)
                     .with("fault", cause)
                     .with("at", cause.getStackTrace().length > 0 ? cause.getStackTrace()[0] : "")
                     .log();
@@ -306,6 +308,12 @@
         }
         boolean idle = nowMillis - mPhaseStartMillis > mServer.limits().idleTimeoutMillis();
         if (idle || mServer.isClosing()) {
+            mServer.log()
+                    .line("caller.closed")
+                    .with("reason", idle ? "idle" : "stopping")
+                    .with("idleMillis", nowMillis - mPhaseStartMillis)
+                    .with("limitMillis", mServer.limits().idleTimeoutMillis())
+                    .log();
             mClosing = true;
             mChannel.close();
         }
