Close a caller's connection as idle only after it was read

What callers saw: a request on a kept connection was lost with the connection. Scheduled tasks run before the sockets that became readable meanwhile, so after the loop was held up, as by a large configuration, it closed connections with requests on them. The limit on the time of a head was in the configuration, but enforced nowhere. Change: RequestWait (core, no I/O) ends a wait only at a second check, between which the loop has read its sockets. Bytes of a head end the idle time; from then on the limit for heads holds, and an overdue head gets 408, which promises that the request did not run.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -33,6 +33,7 @@
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.gateway.internal.relay.CallerResponse;
 import org.magnoliapick.gateway.internal.relay.Relay;
+import org.magnoliapick.relay.RequestWait;
 
 /**
  * A connection from a caller. Requests are processed one at a time. Reading continues while a
@@ -44,6 +45,8 @@
     private static final int MAX_PIPELINED_OBJECTS = 16;
 
     private final CallerServer mServer;
+    private final RequestDecoder mDecoder;
+    private final RequestWait mWait = new RequestWait();
     private final Deque<Object> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
     private HttpRequest mHead;
@@ -53,17 +56,18 @@
     private boolean mKeepAlive = true;
     private boolean mClosing;
 
-    /** When the connection was opened, the last head arrived or the last response ended. */
-    private long mPhaseStartMillis;
+    /** When the last head arrived. */
+    private long mArrivedMillis;
 
-    CallerConnection(CallerServer server) {
+    CallerConnection(CallerServer server, RequestDecoder decoder) {
         mServer = server;
+        mDecoder = decoder;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         mChannel = ctx.channel();
-        mPhaseStartMillis = mServer.nowMillis();
+        mWait.begin(mServer.nowMillis());
         mServer.opened(this);
     }
 
@@ -116,7 +120,7 @@
     }
 
     private void onHead(HttpRequest head) {
-        mPhaseStartMillis = mServer.nowMillis();
+        mArrivedMillis = mServer.nowMillis();
         if (head.decoderResult().isFailure()) {
             rejectAndClose(statusFor(head.decoderResult().cause()));
             return;
@@ -170,7 +174,7 @@
         ByteBuf body = mBody;
         mBody = null;
         HttpRequest head = mHead;
-        Relay relay = mServer.relays().accept(head, body, this, mPhaseStartMillis);
+        Relay relay = mServer.relays().accept(head, body, this, mArrivedMillis);
         // The response may be complete already, and a pipelined request may have been started.
         if (mResponding && mHead == head) {
             mRelay = relay;
@@ -263,7 +267,7 @@
         mResponding = false;
         mRelay = null;
         mHead = null;
-        mPhaseStartMillis = mServer.nowMillis();
+        mWait.begin(mServer.nowMillis());
         if (!mKeepAlive || mServer.isClosing()) {
             mClosing = true;
             releasePipelined();
@@ -299,23 +303,41 @@
     }
 
     /**
-     * Closes the connection if it has waited for a request head beyond the idle timeout, or waits
-     * for one while the server is closing connections.
+     * Closes the connection if it has waited for a request beyond the idle timeout, or waits for
+     * one while the server is closing connections. Rejects a request whose head is overdue.
      */
     void sweep(long nowMillis) {
         if (mResponding || mClosing || mHead != null) {
             return;
         }
-        boolean idle = nowMillis - mPhaseStartMillis > mServer.limits().idleTimeoutMillis();
-        if (idle || mServer.isClosing()) {
-            mServer.log()
-                    .line("caller.closed")
-                    .with("reason", idle ? "idle" : "stopping")
-                    .with("idleMillis", nowMillis - mPhaseStartMillis)
-                    .with("limitMillis", mServer.limits().idleTimeoutMillis())
-                    .log();
+        RequestWait.Verdict verdict =
+                mWait.check(
+                        mServer.limits(),
+                        mDecoder.isInsideRequest(),
+                        mServer.isClosing(),
+                        nowMillis);
+        if (verdict == RequestWait.Verdict.KEEP) {
+            return;
+        }
+        boolean headOverdue = verdict == RequestWait.Verdict.REJECT;
+        mServer.log()
+                .line("caller.closed")
+                .with("reason", reason(headOverdue))
+                .with("waitedMillis", mWait.waitedMillis(nowMillis))
+                .with("idleLimitMillis", mServer.limits().idleTimeoutMillis())
+                .log();
+        if (headOverdue) {
+            rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else {
             mClosing = true;
             mChannel.close();
         }
     }
+
+    private String reason(boolean headOverdue) {
+        if (headOverdue) {
+            return "head-timeout";
+        }
+        return mServer.isClosing() ? "stopping" : "idle";
+    }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
@@ -2,8 +2,8 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.HashSet;
 import java.util.List;
@@ -20,9 +20,6 @@
     /** The maximum number of connections that wait to be accepted. */
     private static final int BACKLOG = 1_024;
 
-    private static final int MAX_INITIAL_LINE_BYTES = 8_192;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     private final EventLoopGroup mLoop;
     private final Relays mRelays;
     private final EventLog mLog;
@@ -53,14 +50,13 @@
                         .childOption(ChannelOption.TCP_NODELAY, true),
                 mLoop,
                 address,
-                pipeline ->
-                        pipeline.addLast(
-                                new HttpRequestDecoder(
-                                        MAX_INITIAL_LINE_BYTES,
-                                        mLimits.maxHeaderBytes(),
-                                        MAX_CHUNK_BYTES),
-                                new HttpResponseEncoder(),
-                                new CallerConnection(this)));
+                this::addHandlers);
+    }
+
+    /** Adds the handlers of a new connection to its pipeline. */
+    void addHandlers(ChannelPipeline pipeline) {
+        RequestDecoder decoder = new RequestDecoder(mLimits.maxHeaderBytes());
+        pipeline.addLast(decoder, new HttpResponseEncoder(), new CallerConnection(this, decoder));
     }
 
     /** Sets the limits; the maximum header size applies to connections accepted from now on. */
@@ -81,7 +77,10 @@
         mClosing = true;
     }
 
-    /** Closes connections that are idle beyond the timeout, or all idle ones while closing. */
+    /**
+     * Closes connections that are idle beyond the timeout, or all idle ones while closing, and
+     * rejects requests whose head is overdue.
+     */
     public void sweep(long nowMillis) {
         List.copyOf(mConnections).forEach(each -> each.sweep(nowMillis));
     }
