Apply a lower idle timeout from the next response on

What callers saw: after a change of the configuration that lowers the idle timeout, connections were closed that by the former timeout could still be used, also while the next request was on its way. Change: a connection keeps the limit that was in force when its last response ended; a higher one applies at once. Evidence: IdleConnectionLosesRequestTest, answersARequestThatIsInTimeByTheFormerIdleTimeout; it failed before with a closed channel.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/RequestWait.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/RequestWait.java
@@ -9,6 +9,7 @@
  */
 public final class RequestWait {
     private long mSinceMillis;
+    private long mIdleLimitMillis;
     private boolean mHeadBegun;
     private boolean mOverdue;
 
@@ -22,9 +23,14 @@
         REJECT
     }
 
-    /** Begins a wait: the connection was opened, or a response has ended. */
-    public void begin(long nowMillis) {
+    /**
+     * Begins a wait: the connection was opened, or a response has ended.
+     *
+     * @param limits the limits in force, which the caller may rely on until its next request
+     */
+    public void begin(CallerLimits limits, long nowMillis) {
         mSinceMillis = nowMillis;
+        mIdleLimitMillis = limits.idleTimeoutMillis();
         mHeadBegun = false;
         mOverdue = false;
     }
@@ -55,11 +61,16 @@
         if (mHeadBegun) {
             return waitedMillis(nowMillis) > limits.headerTimeoutMillis();
         }
-        return closing || waitedMillis(nowMillis) > limits.idleTimeoutMillis();
+        return closing || waitedMillis(nowMillis) > idleLimitMillis(limits);
     }
 
     /** Returns how long the connection has waited for a request head, or for the rest of one. */
     public long waitedMillis(long nowMillis) {
         return nowMillis - mSinceMillis;
     }
+
+    /** Returns the time for which the connection may be idle; a lower limit applies later. */
+    public long idleLimitMillis(CallerLimits limits) {
+        return Math.max(mIdleLimitMillis, limits.idleTimeoutMillis());
+    }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -67,7 +67,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         mChannel = ctx.channel();
-        mWait.begin(mServer.nowMillis());
+        mWait.begin(mServer.limits(), mServer.nowMillis());
         mServer.opened(this);
     }
 
@@ -267,7 +267,7 @@
         mResponding = false;
         mRelay = null;
         mHead = null;
-        mWait.begin(mServer.nowMillis());
+        mWait.begin(mServer.limits(), mServer.nowMillis());
         if (!mKeepAlive || mServer.isClosing()) {
             mClosing = true;
             releasePipelined();
@@ -324,7 +324,7 @@
                 .line("caller.closed")
                 .with("reason", reason(headOverdue))
                 .with("waitedMillis", mWait.waitedMillis(nowMillis))
-                .with("idleLimitMillis", mServer.limits().idleTimeoutMillis())
+                .with("idleLimitMillis", mWait.idleLimitMillis(mServer.limits()))
                 .log();
         if (headOverdue) {
             rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/IdleConnectionLosesRequestTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/IdleConnectionLosesRequestTest.java
@@ -67,7 +67,7 @@
                         context.rateLimits(),
                         relays::execute));
         mServer = new CallerServer(mGroup, relays, log, mClockMillis::get);
-        mServer.setLimits(new CallerLimits(16_384, 4_096, HEADER_MILLIS, IDLE_MILLIS));
+        setIdleTimeout(IDLE_MILLIS);
         mChannel = new EmbeddedChannel();
         mServer.addHandlers(mChannel.pipeline());
         mChannel.pipeline().fireChannelActive();
@@ -80,6 +80,10 @@
         mLoop.shutdownGracefully();
     }
 
+    private void setIdleTimeout(long millis) {
+        mServer.setLimits(new CallerLimits(16_384, 4_096, HEADER_MILLIS, millis));
+    }
+
     private void sweepAfter(long millis) {
         mServer.sweep(mClockMillis.addAndGet(millis));
         mChannel.runPendingTasks();
@@ -162,6 +166,36 @@
         assertThat(mChannel.isOpen()).isFalse();
     }
 
+    /** A caller may use four fifths of the limit that was in force when its response ended. */
+    @Test
+    void answersARequestThatIsInTimeByTheFormerIdleTimeout() {
+        read(REQUEST);
+        assertThat(written()).startsWith(RESPONSE);
+        setIdleTimeout(IDLE_MILLIS / 10);
+        sweepAfter(IDLE_MILLIS * 4 / 5 - 2);
+        sweepAfter(1);
+        sweepAfter(1);
+        read(REQUEST);
+        assertThat(written()).startsWith(RESPONSE);
+    }
+
+    @Test
+    void appliesALowerIdleTimeoutFromTheNextResponseOn() {
+        setIdleTimeout(IDLE_MILLIS / 10);
+        read(REQUEST);
+        sweepAfter(IDLE_MILLIS / 10 + 1);
+        sweepAfter(1);
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void appliesAHigherIdleTimeoutAtOnce() {
+        setIdleTimeout(IDLE_MILLIS * 2);
+        sweepAfter(IDLE_MILLIS + 1);
+        sweepAfter(1);
+        assertThat(mChannel.isOpen()).isTrue();
+    }
+
     @Test
     void closesAnIdleConnection() {
         read(REQUEST);
