Answer requests that were read before a stop

What callers saw: at a stop, requests that they had sent while another was answered ended with the connection. An instance that had read them whole gave neither an answer nor a refusal. Cause: each response of a stopping instance asked the caller to close, and what had been read beyond it was dropped. A response that had begun before the stop was followed by a close of which the caller was not told. Change: a response asks for the close only if no further request has been read; those that have been read are processed, or refused as not ready, which promises that they did not run. CallerExchange writes the response to one request; it was part of CallerConnection. Why it works: what was read is in the queue or the decoder when the header is written, and what was not read is not run, so the caller may send it again.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/RequestWait.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/RequestWait.java
@@ -42,8 +42,7 @@
      * @param headBegun whether part of a request head has arrived
      * @param closing whether idle connections are closed at once
      */
-    public Verdict check(
-            CallerLimits limits, boolean headBegun, boolean closing, long nowMillis) {
+    public Verdict check(CallerLimits limits, boolean headBegun, boolean closing, long nowMillis) {
         if (headBegun && !mHeadBegun) {
             mHeadBegun = true;
             mSinceMillis = nowMillis;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -7,14 +7,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -25,13 +20,8 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
-import java.util.OptionalLong;
-import org.magnoliapick.errors.ErrorKind;
-import org.magnoliapick.gateway.internal.relay.CallerResponse;
 import org.magnoliapick.gateway.internal.relay.Relay;
 import org.magnoliapick.relay.RequestWait;
 
@@ -40,7 +30,7 @@
  * request is in flight, so that a disconnect of the caller is detected; requests that are pipelined
  * meanwhile are queued.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerResponse {
+final class CallerConnection extends ChannelInboundHandlerAdapter {
     /** Queued HTTP objects (request heads and body chunks) at which reading is paused. */
     private static final int MAX_PIPELINED_OBJECTS = 16;
 
@@ -174,7 +164,8 @@
         ByteBuf body = mBody;
         mBody = null;
         HttpRequest head = mHead;
-        Relay relay = mServer.relays().accept(head, body, this, mArrivedMillis);
+        CallerExchange exchange = new CallerExchange(this, mChannel);
+        Relay relay = mServer.relays().accept(head, body, exchange, mArrivedMillis);
         // The response may be complete already, and a pipelined request may have been started.
         if (mResponding && mHead == head) {
             mRelay = relay;
@@ -199,77 +190,29 @@
         mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
-    @Override
-    public void sendComplete(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
-        DefaultFullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE);
-        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        setConnectionHeader(headers);
-        mChannel.write(response);
-        finishResponse();
-    }
-
-    @Override
-    public void sendHead(HttpResponseStatus status, HttpHeaders headers) {
-        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        setConnectionHeader(headers);
-        mChannel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
-    }
-
-    @Override
-    public void sendChunk(ByteBuf chunk) {
-        mChannel.writeAndFlush(new DefaultHttpContent(chunk), mChannel.voidPromise());
-    }
-
-    @Override
-    public void end() {
-        mChannel.write(LastHttpContent.EMPTY_LAST_CONTENT);
-        finishResponse();
-    }
-
-    @Override
-    public void sendError(ErrorKind kind, OptionalLong retryAfterMillis) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        if (retryAfterMillis.isPresent()) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, formatSeconds(retryAfterMillis.getAsLong()));
-        }
-        headers.set("Magnoliapick-Outcome", kind.outcome().wireName());
-        headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
-        ByteBuf body = Unpooled.copiedBuffer(kind.wireName() + "\n", StandardCharsets.US_ASCII);
-        sendComplete(HttpResponseStatus.valueOf(kind.httpStatus()), headers, body);
-    }
-
-    private static String formatSeconds(long millis) {
-        return millis / 1_000 + "." + String.format(Locale.ROOT, "%03d", millis % 1_000);
-    }
-
-    @Override
-    public void abort() {
-        mRelay = null;
-        mClosing = true;
-        mChannel.close();
-    }
-
-    @Override
-    public boolean isWritable() {
-        return mChannel.isWritable();
+    /** Returns whether the connection stays open after the response that is sent now. */
+    boolean staysOpen() {
+        return mKeepAlive && (!mServer.isDraining() || isNextRequestRead());
     }
 
-    private void setConnectionHeader(HttpHeaders headers) {
-        if (!mKeepAlive || mServer.isDraining()) {
-            mKeepAlive = false;
-            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
+    /** Returns whether the caller has sent another request, or part of one, that was read. */
+    private boolean isNextRequestRead() {
+        return !mPipelined.isEmpty() || mDecoder.isInsideRequest() || mDecoder.hasUndecodedBytes();
     }
 
-    private void finishResponse() {
+    /**
+     * Ends the current request after its response was written.
+     *
+     * @param closeAnnounced whether the response asked the caller to close the connection
+     */
+    void responseEnded(boolean closeAnnounced) {
         mResponding = false;
         mRelay = null;
         mHead = null;
         mWait.begin(mServer.limits(), mServer.nowMillis());
-        if (!mKeepAlive || mServer.isClosing()) {
+        if (closeAnnounced) {
             mClosing = true;
+            logDropped();
             releasePipelined();
             mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
@@ -281,6 +224,25 @@
         }
     }
 
+    /** Logs the requests that the caller sent after it had received the request to close. */
+    private void logDropped() {
+        long dropped = mPipelined.stream().filter(HttpRequest.class::isInstance).count();
+        if (dropped > 0) {
+            mServer.log()
+                    .line("caller.closed")
+                    .with("reason", mKeepAlive ? "stopping" : "caller")
+                    .with("unansweredRequests", dropped)
+                    .log();
+        }
+    }
+
+    /** Closes the connection in the middle of a response. */
+    void abort() {
+        mRelay = null;
+        mClosing = true;
+        mChannel.close();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (mRelay != null) {
--- /dev/null
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
@@ -0,0 +1,97 @@
+package org.magnoliapick.gateway.internal.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.OptionalLong;
+import org.magnoliapick.errors.ErrorKind;
+import org.magnoliapick.gateway.internal.relay.CallerResponse;
+
+/** Writes the response to one request of a caller's connection. */
+final class CallerExchange implements CallerResponse {
+    private final CallerConnection mConnection;
+    private final Channel mChannel;
+
+    /** Whether the response asks the caller to close the connection. */
+    private boolean mCloseAnnounced;
+
+    CallerExchange(CallerConnection connection, Channel channel) {
+        mConnection = connection;
+        mChannel = channel;
+    }
+
+    @Override
+    public void sendComplete(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE);
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        setConnectionHeader(headers);
+        mChannel.write(response);
+        mConnection.responseEnded(mCloseAnnounced);
+    }
+
+    @Override
+    public void sendHead(HttpResponseStatus status, HttpHeaders headers) {
+        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        setConnectionHeader(headers);
+        mChannel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
+    }
+
+    @Override
+    public void sendChunk(ByteBuf chunk) {
+        mChannel.writeAndFlush(new DefaultHttpContent(chunk), mChannel.voidPromise());
+    }
+
+    @Override
+    public void end() {
+        mChannel.write(LastHttpContent.EMPTY_LAST_CONTENT);
+        mConnection.responseEnded(mCloseAnnounced);
+    }
+
+    @Override
+    public void sendError(ErrorKind kind, OptionalLong retryAfterMillis) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        if (retryAfterMillis.isPresent()) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, formatSeconds(retryAfterMillis.getAsLong()));
+        }
+        headers.set("Magnoliapick-Outcome", kind.outcome().wireName());
+        headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
+        ByteBuf body = Unpooled.copiedBuffer(kind.wireName() + "\n", StandardCharsets.US_ASCII);
+        sendComplete(HttpResponseStatus.valueOf(kind.httpStatus()), headers, body);
+    }
+
+    private static String formatSeconds(long millis) {
+        return millis / 1_000 + "." + String.format(Locale.ROOT, "%03d", millis % 1_000);
+    }
+
+    @Override
+    public void abort() {
+        mConnection.abort();
+    }
+
+    @Override
+    public boolean isWritable() {
+        return mChannel.isWritable();
+    }
+
+    private void setConnectionHeader(HttpHeaders headers) {
+        if (!mConnection.staysOpen()) {
+            mCloseAnnounced = true;
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+}
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/RequestDecoder.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/RequestDecoder.java
@@ -23,6 +23,11 @@
         return mInsideRequest;
     }
 
+    /** Returns whether bytes that were read follow the request that was just decoded. */
+    boolean hasUndecodedBytes() {
+        return actualReadableBytes() > 0;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
             throws Exception {
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/IdleConnectionLosesRequestTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/IdleConnectionLosesRequestTest.java
@@ -46,8 +46,7 @@
     void connect() {
         JsonLineWriter writer =
                 new JsonLineWriter(
-                        new PrintStream(
-                                new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
+                        new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
         EventLog log = new EventLog(writer, mClockMillis::get);
         RelayContext context =
                 new RelayContext(
