Answer many pipelined requests without growing the stack

What callers saw: a caller that sent many short requests on a connection while an earlier one was answered got no answer to some of them, and later the timeout of the first one as the answer to another request. Cause: each request that is answered at once began the next one inside its own response, so the stack grew with the number of requests read together (up to 64 KB) until it overflowed. The error went through the frames of the first request, whose end was not recorded any more, so its timer wrote a second response. Change: the requests are handled in one loop.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -45,6 +45,7 @@
     private boolean mResponding;
     private boolean mKeepAlive = true;
     private boolean mClosing;
+    private boolean mHandlingPipelined;
 
     /** When the last head arrived. */
     private long mArrivedMillis;
@@ -166,7 +167,7 @@
         HttpRequest head = mHead;
         CallerExchange exchange = new CallerExchange(this, mChannel);
         Relay relay = mServer.relays().accept(head, body, exchange, mArrivedMillis);
-        // The response may be complete already, and a pipelined request may have been started.
+        // The response may be complete already.
         if (mResponding && mHead == head) {
             mRelay = relay;
         }
@@ -219,8 +220,25 @@
         }
         mChannel.flush();
         mChannel.config().setAutoRead(true);
-        while (!mResponding && !mClosing && !mPipelined.isEmpty()) {
-            handle(mPipelined.poll());
+        handlePipelined();
+    }
+
+    /**
+     * Handles the objects that were read during a response, until another request is in flight. A
+     * request that is answered at once is followed by the next one in the same loop, so that the
+     * depth of the stack does not grow with their number.
+     */
+    private void handlePipelined() {
+        if (mHandlingPipelined) {
+            return;
+        }
+        mHandlingPipelined = true;
+        try {
+            while (!mResponding && !mClosing && !mPipelined.isEmpty()) {
+                handle(mPipelined.poll());
+            }
+        } finally {
+            mHandlingPipelined = false;
         }
     }
 
