Answer requests that a fault of the gateway ends

What callers saw: after an exception between the last byte of a request and its answer, the connection was closed without one, or stayed open and silent until the timeout of the route. Cause: exceptions of routing and placement went up to the connection, whose handler closed it; those of the step after an asynchronous connect ended in the future's listener, those of the end of a response in the upstream's connection, which no longer knew the request. An exception in the decision on one request also ended the loop that executes the decisions on others, as did a decision that matched no request. CallerExchange drops what is written after the end of a response. A fault in the handlers of a connection answers its request before the connection is closed.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -22,6 +22,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.gateway.internal.relay.Relay;
 import org.magnoliapick.relay.RequestWait;
 
@@ -41,6 +42,7 @@
     private Channel mChannel;
     private HttpRequest mHead;
     private ByteBuf mBody;
+    private CallerExchange mExchange;
     private Relay mRelay;
     private boolean mResponding;
     private boolean mKeepAlive = true;
@@ -165,8 +167,8 @@
         ByteBuf body = mBody;
         mBody = null;
         HttpRequest head = mHead;
-        CallerExchange exchange = new CallerExchange(this, mChannel);
-        Relay relay = mServer.relays().accept(head, body, exchange, mArrivedMillis);
+        mExchange = new CallerExchange(this, mChannel);
+        Relay relay = mServer.relays().accept(head, body, mExchange, mArrivedMillis);
         // The response may be complete already.
         if (mResponding && mHead == head) {
             mRelay = relay;
@@ -270,16 +272,25 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (!(cause instanceof IOException)) {
-            mServer.log()
-                    .line("caller.fault")
-                    .with("path", mHead == null ? "" : mHead.uri())
-                    .with("responding", mResponding)
-                    .with("fault", cause)
-                    .with("at", cause.getStackTrace().length > 0 ? cause.getStackTrace()[0] : "")
-                    .log();
+        if (cause instanceof IOException) {
+            ctx.close();
+            return;
+        }
+        mServer.log()
+                .line("caller.fault")
+                .with("path", mHead == null ? "" : mHead.uri())
+                .with("responding", mResponding)
+                .withFault(cause)
+                .log();
+        // The state of the connection is unknown, so it ends with the answer to the request.
+        mKeepAlive = false;
+        if (mRelay != null) {
+            mRelay.connectionFailed();
+        } else if (mResponding) {
+            mExchange.fail(ErrorKind.INTERNAL);
+        } else if (!mClosing) {
+            rejectAndClose(HttpResponseStatus.INTERNAL_SERVER_ERROR);
         }
-        ctx.close();
     }
 
     /**
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
@@ -28,6 +28,9 @@
     /** Whether the response asks the caller to close the connection. */
     private boolean mCloseAnnounced;
 
+    private boolean mHeadSent;
+    private boolean mEnded;
+
     CallerExchange(CallerConnection connection, Channel channel) {
         mConnection = connection;
         mChannel = channel;
@@ -35,11 +38,16 @@
 
     @Override
     public void sendComplete(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+        if (mEnded) {
+            body.release();
+            return;
+        }
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE);
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         setConnectionHeader(headers);
+        mEnded = true;
         mChannel.write(response);
         mConnection.responseEnded(mCloseAnnounced);
     }
@@ -48,6 +56,7 @@
     public void sendHead(HttpResponseStatus status, HttpHeaders headers) {
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         setConnectionHeader(headers);
+        mHeadSent = true;
         mChannel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
     }
 
@@ -58,6 +67,7 @@
 
     @Override
     public void end() {
+        mEnded = true;
         mChannel.write(LastHttpContent.EMPTY_LAST_CONTENT);
         mConnection.responseEnded(mCloseAnnounced);
     }
@@ -80,9 +90,22 @@
 
     @Override
     public void abort() {
+        mEnded = true;
         mConnection.abort();
     }
 
+    @Override
+    public void fail(ErrorKind kind) {
+        if (mEnded) {
+            return;
+        }
+        if (mHeadSent) {
+            abort();
+        } else {
+            sendError(kind, OptionalLong.empty());
+        }
+    }
+
     @Override
     public boolean isWritable() {
         return mChannel.isWritable();
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/log/EventLog.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/log/EventLog.java
@@ -50,6 +50,12 @@
             return this;
         }
 
+        /** Adds a fault and where it was thrown. */
+        public Line withFault(Throwable fault) {
+            StackTraceElement[] trace = fault.getStackTrace();
+            return with("fault", fault).with("at", trace.length > 0 ? trace[0] : "");
+        }
+
         /** Completes the line and queues it for writing. */
         public void log() {
             mWriter.add(mText.append('}'));
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/CallerResponse.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/CallerResponse.java
@@ -8,7 +8,7 @@
 
 /**
  * Writes the response to one request of a caller. The last call is exactly one of {@link
- * #sendComplete}, {@link #sendError}, {@link #end} and {@link #abort}.
+ * #sendComplete}, {@link #sendError}, {@link #end} and {@link #abort}, or {@link #fail}.
  */
 public interface CallerResponse {
     /** Sends a complete response; takes ownership of the body. */
@@ -29,6 +29,12 @@
     /** Closes the connection, so that a partially sent response does not look complete. */
     void abort();
 
+    /**
+     * Ends the response after a fault of the gateway itself: with an error response if nothing was
+     * sent yet, or else by closing the connection. Does nothing if the response has ended.
+     */
+    void fail(ErrorKind kind);
+
     /** Returns whether more can be sent now; false while the caller reads too slowly. */
     boolean isWritable();
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -33,6 +33,7 @@
     private final HttpRequest mRequestHead;
     private final ByteBuf mRequestBody;
     private final CallerResponse mResponse;
+    private final RelayGuard mGuard;
     private RelayRequest mRequest;
     private RelayAttempts mAttempts;
     private int mRank;
@@ -65,6 +66,36 @@
         mRequestHead = requestHead;
         mRequestBody = requestBody;
         mResponse = response;
+        mGuard = new RelayGuard(this, context.log(), requestHead.uri());
+    }
+
+    /** Returns the guard in which all steps of this request run. */
+    RelayGuard guard() {
+        return mGuard;
+    }
+
+    /** Ends the request after a fault in the handlers of its connection, which was logged. */
+    public void connectionFailed() {
+        mGuard.run(this::endWithFault);
+    }
+
+    /** Ends the request after a fault of the gateway itself, which was logged. */
+    void endWithFault() {
+        if (mClosed) {
+            return;
+        }
+        boolean mayHaveRun =
+                mAttempts != null
+                        && (mAttempts.mayHaveRun() || (mCall != null && mCall.mayHaveSent()));
+        ErrorKind kind = mayHaveRun ? ErrorKind.INTERNAL_AFTER_START : ErrorKind.INTERNAL;
+        try {
+            cancelOrWithdraw();
+        } finally {
+            if (!mClosed) {
+                finishWithError(kind);
+            }
+            mResponse.fail(kind);
+        }
     }
 
     /** Rejects the request before it is submitted to a pool. */
@@ -88,7 +119,7 @@
         mTimer =
                 mContext.loop()
                         .schedule(
-                                this::onTimeout,
+                                () -> mGuard.run(this::onTimeout),
                                 Math.max(0, remainingMillis),
                                 TimeUnit.MILLISECONDS);
         submitToPool();
@@ -183,7 +214,10 @@
         UpstreamCall call = new UpstreamCall(mContext, mRequest, this, mTicket.upstream());
         mCall = call;
         mPools.connections(mTicket.upstream())
-                .acquire(nowMillis, call::onConnected, call::onConnectFailed);
+                .acquire(
+                        nowMillis,
+                        connection -> mGuard.run(() -> call.onConnected(connection)),
+                        () -> mGuard.run(call::onConnectFailed));
     }
 
     /** Fails the request because the pool refused it. */
@@ -217,6 +251,10 @@
 
     /** Cancels the request because the caller closed its connection. */
     public void callerDisconnected() {
+        mGuard.run(this::cancelForCaller);
+    }
+
+    private void cancelForCaller() {
         if (mClosed) {
             return;
         }
@@ -231,7 +269,7 @@
     /** Pauses or resumes reading from the upstream when the caller's writability changed. */
     public void callerWritabilityChanged() {
         if (mCall != null) {
-            mCall.setAutoRead(mResponse.isWritable());
+            mGuard.run(() -> mCall.setAutoRead(mResponse.isWritable()));
         }
     }
 
@@ -445,17 +483,6 @@
         if (mPlacement == null) {
             return line.with("placed", false);
         }
-        return line.with("upstream", mPlacement.upstream())
-                .with("cause", mPlacement.cause().logName())
-                .with("waitedMillis", mPlacement.waitedMillis())
-                .with("newTokens", mPlacement.newTokens())
-                .with("aheadTokens", mPlacement.aheadTokens());
-    }
-
-    private record Placement(
-            PoolCause cause,
-            long waitedMillis,
-            UpstreamId upstream,
-            long newTokens,
-            long aheadTokens) {}
+        return mPlacement.addTo(line);
+    }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -20,6 +20,7 @@
 import org.magnoliapick.relay.CallerWaitEstimate;
 import org.magnoliapick.relay.RelayRequest;
 import org.magnoliapick.relay.StopPlan;
+import org.magnoliapick.request.AttemptEnd;
 import org.magnoliapick.route.Route;
 import org.magnoliapick.route.TrafficConfig;
 import org.magnoliapick.route.WorkspaceSpec;
@@ -59,16 +60,35 @@
         mQuarantineMonitor = new QuarantineMonitor(mContext, pools);
     }
 
-    /** Executes a pool's decision on a waiting request. */
+    /**
+     * Executes a pool's decision on a waiting request. Never throws, because other decisions may
+     * follow.
+     */
     public void execute(PoolAction action) {
         Relay relay = mPendingByNumber.remove(action.job().queryId());
         if (relay == null) {
-            throw new IllegalStateException("no pending request matches pool action " + action);
+            mContext.log()
+                    .line("pool.action-unmatched")
+                    .with("request", action.job().id())
+                    .with("action", action)
+                    .log();
+            releaseUnmatched(action);
+            return;
         }
         if (action instanceof PoolAction.Start start) {
-            relay.startAttempt(start);
+            relay.guard().run(() -> relay.startAttempt(start));
         } else if (action instanceof PoolAction.Refuse refuse) {
-            relay.poolRefused(refuse);
+            relay.guard().run(() -> relay.poolRefused(refuse));
+        }
+    }
+
+    private void releaseUnmatched(PoolAction action) {
+        if (action instanceof PoolAction.Start start) {
+            mPools.attemptEnded(
+                    start.job(),
+                    start.ticket(),
+                    Optional.of(AttemptEnd.CANCELLED),
+                    mContext.nowMillis());
         }
     }
 
@@ -88,7 +108,8 @@
     }
 
     /**
-     * Starts relaying a complete request. The response may be sent before this method returns.
+     * Starts relaying a complete request. The response may be sent before this method returns. A
+     * fault in it ends the request with an error response.
      *
      * @param body the body; ownership passes to the relay
      * @param arrivedMillis when the request head arrived
@@ -98,6 +119,11 @@
         mContext.counters().countReceived();
         Relay relay = new Relay(mContext, mPools, this, head, body, response);
         mInFlight.add(relay);
+        relay.guard().run(() -> admitOrReject(relay, head, arrivedMillis));
+        return relay;
+    }
+
+    private void admitOrReject(Relay relay, HttpRequest head, long arrivedMillis) {
         Optional<RequestHead> parsedHead = mContext.dialect().readRequest(head);
         Optional<TrafficConfig> config = mContext.config();
         if (parsedHead.isEmpty()) {
@@ -107,7 +133,6 @@
         } else {
             routeRequest(relay, head, parsedHead.get(), config.get(), arrivedMillis);
         }
-        return relay;
     }
 
     private boolean acceptsRequests() {
@@ -160,7 +185,7 @@
     /** Checks the streams in flight for stalls. */
     public void tick(long nowMillis) {
         for (Relay relay : List.copyOf(mInFlight)) {
-            relay.tick(nowMillis);
+            relay.guard().run(() -> relay.tick(nowMillis));
         }
     }
 
@@ -171,7 +196,7 @@
     public void quarantineTick(long nowMillis) {
         if (mQuarantineMonitor.tick(nowMillis)) {
             for (Relay relay : List.copyOf(mInFlight)) {
-                relay.cancelIfQuarantined(nowMillis);
+                relay.guard().run(() -> relay.cancelIfQuarantined(nowMillis));
             }
         }
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -67,7 +67,7 @@
         }
         mConnection = connection;
         mStallWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
-        if (connection.send(forwardedHead(), mRelay.requestBody(), this)) {
+        if (connection.send(forwardedHead(), mRelay.requestBody(), mRelay.guard().guarded(this))) {
             mSent = true;
             mSentMillis = mContext.nowMillis();
             mRelay.attempts().sent(mUpstream.id());
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/PipelinedRequestLostTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/PipelinedRequestLostTest.java
@@ -21,9 +21,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        mGateway =
-                new RunningGateway(
-                        new ConfigDialect(), "service s;route safe SAFE s 5000");
+        mGateway = new RunningGateway(new ConfigDialect(), "service s;route safe SAFE s 5000");
         mUpstream =
                 mGateway.addUpstream(
                         "u",
@@ -51,8 +49,7 @@
     void answersRequestsThatWereReadBeforeAStop() throws Exception {
         try (Socket socket = mGateway.connect()) {
             FakeServer.write(
-                    socket,
-                    request("safe", "1") + request("safe", "2") + request("nowhere", "3"));
+                    socket, request("safe", "1") + request("safe", "2") + request("nowhere", "3"));
             mUpstream.requests().take();
             mGateway.beginStop();
             mAnswer.countDown();
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/RunningGateway.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/RunningGateway.java
@@ -14,6 +14,9 @@
 
 /** A gateway on loopback addresses whose configuration and upstreams are changed by tests. */
 public final class RunningGateway implements AutoCloseable {
+    /** Longer than any response takes, and shorter than the timeouts of tests. */
+    private static final int READ_TIMEOUT_MILLIS = 10_000;
+
     private static final String RESPONSE_HEAD = "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\n";
 
     private final ByteArrayOutputStream mLog = new ByteArrayOutputStream();
@@ -77,9 +80,11 @@
         mClockLeadMillis.addAndGet(millis);
     }
 
-    /** Opens a connection as a caller. */
+    /** Opens a connection as a caller; reads from it fail after a while without any byte. */
     public Socket connect() throws IOException {
-        return new Socket("127.0.0.1", mProcess.callerPort());
+        Socket socket = new Socket("127.0.0.1", mProcess.callerPort());
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return socket;
     }
 
     /** Begins a stop and waits until the gateway has noticed it; closing waits for its end. */
