Run tasks of the event loop again after a fault

Cause: a periodic task that throws is not scheduled again, and of a chain of one-shot tasks the next is scheduled by the last. The guards caught exceptions but no errors, such as a stack overflow by a deeply nested record, and the chains that read the store had none. One fault also kept the other steps of the same task from running. A follower reads its topic anew after a fault. A record whose parsing ends in an error is passed over like one that throws an exception. A call to the store whose end fails is ended by its timer.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -13,6 +13,7 @@
 import org.magnoliapick.gateway.internal.http.Connector;
 import org.magnoliapick.gateway.internal.http.ControlServer;
 import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.gateway.internal.log.FaultGuard;
 import org.magnoliapick.gateway.internal.peer.PeerSocket;
 import org.magnoliapick.gateway.internal.peer.StorePeers;
 import org.magnoliapick.gateway.internal.relay.Pools;
@@ -55,6 +56,7 @@
 
     private final GatewaySettings mSettings;
     private final EventLog mLog;
+    private final FaultGuard mGuard;
     private final LongSupplier mClockMillis;
     private final NioEventLoopGroup mGroup = new NioEventLoopGroup(1);
     private final EventLoop mLoop = mGroup.next();
@@ -82,6 +84,7 @@
         mSettings = settings;
         mDialect = dialect;
         mLog = log;
+        mGuard = new FaultGuard(log);
         mClockMillis = clockMillis;
         mStopGraceMillis = settings.stopGraceMillis();
         mContext =
@@ -129,14 +132,17 @@
         new ControlServer(mGroup, Map.of("/metrics", this::metrics))
                 .listen(mSettings.controlAddress());
         mPeers.listen();
-        mLoop.execute(this::startStoreReading);
+        runOnEventLoop("store.start", this::startStoreReading);
         mLoop.scheduleWithFixedDelay(
-                this::peerTick,
+                () -> mGuard.run("peers.tick", this::peerTick),
                 PEER_TICK_INTERVAL_MILLIS,
                 PEER_TICK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         mLoop.scheduleWithFixedDelay(
-                this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                () -> mGuard.run("sweep", this::sweep),
+                SWEEP_INTERVAL_MILLIS,
+                SWEEP_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
         mLog.line("instance.started")
                 .with("instance", mSettings.instance())
                 .with("domain", mSettings.domain())
@@ -167,8 +173,11 @@
                         () -> mPeers.remoteDispatcher().isEmpty());
         reader.start(
                 this::applyConfig,
-                () -> mPools.upstreamsChanged(mClockMillis.getAsLong()),
-                mPeers::sendStoreUpdate);
+                () ->
+                        mGuard.run(
+                                "upstreams",
+                                () -> mPools.upstreamsChanged(mClockMillis.getAsLong())),
+                () -> mGuard.run("store.update", mPeers::sendStoreUpdate));
         mStoreReader = Optional.of(reader);
     }
 
@@ -187,8 +196,8 @@
 
     private void applyConfig(TrafficConfig config) {
         mContext.applyConfig(config);
-        mPools.applyConfig(config);
         mCallers.setLimits(config.limits());
+        mGuard.run("config.pools", () -> mPools.applyConfig(config));
     }
 
     private boolean isStartingBehind() {
@@ -228,59 +237,51 @@
 
     private void poolTick() {
         mPoolTickScheduled = false;
-        runGuarded("pool.tick", () -> mPools.tick(mClockMillis.getAsLong()));
+        mGuard.run("pool.tick", () -> mPools.tick(mClockMillis.getAsLong()));
     }
 
     private void peerTick() {
-        runGuarded(
-                "peers",
-                () -> {
-                    mPeers.tick(mClockMillis.getAsLong());
-                    mPools.setShare(mPeers.share(), mClockMillis.getAsLong());
-                    mRelays.quarantineTick(mClockMillis.getAsLong());
-                    mRelays.rateLimitTick(mClockMillis.getAsLong());
-                    // The retry budget is divided among all live instances, this one included.
-                    mContext.updateFleetSize(mPeers.liveCount() + 1);
-                });
+        long nowMillis = mClockMillis.getAsLong();
+        mGuard.run("peers", () -> mPeers.tick(nowMillis));
+        mGuard.run("pool.share", () -> mPools.setShare(mPeers.share(), nowMillis));
+        mGuard.run("quarantine", () -> mRelays.quarantineTick(nowMillis));
+        mGuard.run("rate-limits", () -> mRelays.rateLimitTick(nowMillis));
+        // The retry budget is divided among all live instances, this one included.
+        mGuard.run("fleet-size", () -> mContext.updateFleetSize(mPeers.liveCount() + 1));
     }
 
     private void sweep() {
-        runGuarded(
-                "sweep",
-                () -> {
-                    long nowMillis = mClockMillis.getAsLong();
-                    if (mDirectory.removeLapsed(nowMillis)) {
-                        mPools.upstreamsChanged(nowMillis);
-                    }
-                    mRelays.tick(nowMillis);
-                    if (nowMillis - mLoadLoggedMillis >= LOAD_LOG_INTERVAL_MILLIS) {
-                        mLoadLoggedMillis = nowMillis;
-                        mPools.logLoad(mLog, nowMillis);
-                    }
-                    mPools.sweep(nowMillis);
-                    mCallers.sweep(nowMillis);
-                    advanceStop(nowMillis);
-                });
+        long nowMillis = mClockMillis.getAsLong();
+        mGuard.run("directory", () -> removeLapsed(nowMillis));
+        mGuard.run("relays", () -> mRelays.tick(nowMillis));
+        mGuard.run("pool.load", () -> logLoad(nowMillis));
+        mGuard.run("pool.sweep", () -> mPools.sweep(nowMillis));
+        mGuard.run("callers", () -> mCallers.sweep(nowMillis));
+        mGuard.run("stop", () -> advanceStop(nowMillis));
+    }
+
+    private void removeLapsed(long nowMillis) {
+        if (mDirectory.removeLapsed(nowMillis)) {
+            mPools.upstreamsChanged(nowMillis);
+        }
     }
 
-    /** Runs a step and logs its exception, so that the other steps and later runs continue. */
-    private void runGuarded(String name, Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException e) {
-            mLog.line("step.fault").with("step", name).with("fault", e).log();
+    private void logLoad(long nowMillis) {
+        if (nowMillis - mLoadLoggedMillis >= LOAD_LOG_INTERVAL_MILLIS) {
+            mLoadLoggedMillis = nowMillis;
+            mPools.logLoad(mLog, nowMillis);
         }
     }
 
     /** Runs a step on the event loop. */
-    void runOnEventLoop(Runnable step) {
-        mLoop.execute(() -> runGuarded("signal", step));
+    void runOnEventLoop(String name, Runnable step) {
+        mLoop.execute(() -> mGuard.run(name, step));
     }
 
     /** Runs a step on the event loop at the interval of settings checks. */
     void runPeriodically(Runnable step) {
         mLoop.scheduleWithFixedDelay(
-                () -> runGuarded("settings", step),
+                () -> mGuard.run("settings", step),
                 SETTINGS_CHECK_INTERVAL_MILLIS,
                 SETTINGS_CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -300,7 +301,8 @@
 
     /** Stops gracefully; returns once no caller is connected or the grace time has passed. */
     public void stop() throws InterruptedException {
-        mLoop.execute(
+        runOnEventLoop(
+                "stop.begin",
                 () -> {
                     StopPlan plan = new StopPlan(mClockMillis.getAsLong(), mStopGraceMillis);
                     mStopPlan = Optional.of(plan);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/GatewayProcess.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/GatewayProcess.java
@@ -40,7 +40,7 @@
         mGateway.runPeriodically(watcher::reloadIfModified);
         Signal.handle(
                 new Signal("HUP"),
-                signal -> mGateway.runOnEventLoop(() -> watcher.reload("signal")));
+                signal -> mGateway.runOnEventLoop("signal", () -> watcher.reload("signal")));
     }
 
     /**
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
@@ -12,6 +12,7 @@
 import org.magnoliapick.gateway.AddressPort;
 import org.magnoliapick.gateway.internal.http.Sockets;
 import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.gateway.internal.log.FaultGuard;
 import org.magnoliapick.gateway.internal.relay.Relays;
 import org.magnoliapick.route.CallerLimits;
 
@@ -23,6 +24,7 @@
     private final EventLoopGroup mLoop;
     private final Relays mRelays;
     private final EventLog mLog;
+    private final FaultGuard mGuard;
     private final LongSupplier mClockMillis;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private CallerLimits mLimits = CallerLimits.INITIAL;
@@ -35,6 +37,7 @@
         mLoop = loop;
         mRelays = relays;
         mLog = log;
+        mGuard = new FaultGuard(log);
         mClockMillis = clockMillis;
     }
 
@@ -82,7 +85,8 @@
      * rejects requests whose head is overdue.
      */
     public void sweep(long nowMillis) {
-        List.copyOf(mConnections).forEach(each -> each.sweep(nowMillis));
+        List.copyOf(mConnections)
+                .forEach(each -> mGuard.run("caller", () -> each.sweep(nowMillis)));
     }
 
     /** Returns the number of open caller connections. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/BufferingHttpClient.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/BufferingHttpClient.java
@@ -102,9 +102,10 @@
 
         @Override
         public void onComplete() {
+            // After a fault in this step the timer still ends the call.
+            mPool.release(mConnection, mClockMillis.getAsLong());
             mEnded = true;
             mTimer.cancel(false);
-            mPool.release(mConnection, mClockMillis.getAsLong());
             byte[] body = new byte[mBody.readableBytes()];
             mBody.readBytes(body);
             mListener.answered(mHead, body);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -22,6 +22,7 @@
 import org.magnoliapick.gateway.AddressPort;
 import org.magnoliapick.gateway.GatewaySettings;
 import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.gateway.internal.log.FaultGuard;
 import org.magnoliapick.gateway.internal.relay.Pools;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.limit.RateLimits;
@@ -63,6 +64,7 @@
     private final GatewaySettings mSettings;
     private final Pools mPools;
     private final EventLog mLog;
+    private final FaultGuard mGuard;
     private final LongSupplier mClockMillis;
     private final PeerTable mTable;
     private final StoreRelay mStoreRelay;
@@ -102,6 +104,7 @@
         mSettings = settings;
         mPools = pools;
         mLog = log;
+        mGuard = new FaultGuard(log);
         mClockMillis = clockMillis;
         mStoreRelay = storeRelay;
         mQuarantine = quarantine;
@@ -240,7 +243,7 @@
     public void scheduleFlush() {
         if (!mFlushScheduled && mPools.hasMessages()) {
             mFlushScheduled = true;
-            mGroup.next().execute(this::runScheduledFlush);
+            mGroup.next().execute(() -> mGuard.run("peers.flush", this::runScheduledFlush));
         } else if (mPools.isDirty()) {
             scheduleDelayedFlush();
         }
@@ -255,7 +258,10 @@
         if (!mDelayedFlushScheduled) {
             mDelayedFlushScheduled = true;
             mGroup.next()
-                    .schedule(this::runDelayedFlush, FLUSH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                    .schedule(
+                            () -> mGuard.run("peers.flush", this::runDelayedFlush),
+                            FLUSH_DELAY_MILLIS,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -162,10 +162,13 @@
      */
     public void tick(long nowMillis) {
         Optional<InstanceId> dispatcher = mRemoteDispatcher.get();
-        for (ServicePool each : List.copyOf(mPools.values())) {
-            execute(each.tick(dispatcher, nowMillis));
+        try {
+            for (ServicePool each : List.copyOf(mPools.values())) {
+                execute(each.tick(dispatcher, nowMillis));
+            }
+        } finally {
+            scheduleFlushAndTick();
         }
-        scheduleFlushAndTick();
     }
 
     /**
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigHandler.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigHandler.java
@@ -82,7 +82,7 @@
     private Optional<TrafficConfig> parse(StoreRecord record) {
         try {
             return mDialect.readConfig(record.key(), record.value());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mLog.line("config.unreadable").with("offset", record.offset()).with("fault", e).log();
             return Optional.empty();
         }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/StoreFollower.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/StoreFollower.java
@@ -18,6 +18,7 @@
 import org.magnoliapick.gateway.StoreTopic;
 import org.magnoliapick.gateway.internal.http.BufferingHttpClient;
 import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.gateway.internal.log.FaultGuard;
 
 /**
  * Follows one topic of the store: reads a snapshot with the newest record of each key, then the
@@ -46,6 +47,7 @@
     private final Dialect mDialect;
     private final TopicHandler mHandler;
     private final EventLog mLog;
+    private final FaultGuard mGuard;
     private final LongSupplier mClockMillis;
     private final BooleanSupplier mReadsForOthers;
     private final Runnable mOnLocalChange;
@@ -88,6 +90,7 @@
         mDialect = dialect;
         mHandler = handler;
         mLog = log;
+        mGuard = new FaultGuard(log);
         mClockMillis = clockMillis;
         mReadsForOthers = readsForOthers;
         mOnLocalChange = onLocalChange;
@@ -153,14 +156,19 @@
 
     private ScheduledFuture<?> schedule(Runnable step, long delayMillis) {
         int run = mRun;
-        return mLoop.schedule(
-                () -> {
-                    if (run == mRun) {
-                        step.run();
-                    }
-                },
-                delayMillis,
-                TimeUnit.MILLISECONDS);
+        return mLoop.schedule(() -> runGuarded(run, step), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Runs a step of a run. A fault in it would end the reading for good, so the topic is read anew
+     * after one.
+     */
+    private void runGuarded(int run, Runnable step) {
+        if (run == mRun && !mGuard.run("store", step)) {
+            mRun++;
+            mCoveredPoll = null;
+            retryLater(() -> readSnapshot(Optional.empty()));
+        }
     }
 
     /** Reads the next records, or checks again later while another instance covers the topic. */
@@ -242,16 +250,20 @@
                 new BufferingHttpClient.Listener() {
                     @Override
                     public void answered(HttpResponse head, byte[] body) {
-                        if (run == mRun && !isOfOtherEpoch(head, onResponse)) {
-                            handle(decode(call, head.status().code(), body), onResponse);
-                        }
+                        runGuarded(
+                                run,
+                                () -> {
+                                    if (!isOfOtherEpoch(head, onResponse)) {
+                                        handle(
+                                                decode(call, head.status().code(), body),
+                                                onResponse);
+                                    }
+                                });
                     }
 
                     @Override
                     public void failed(String reason) {
-                        if (run == mRun) {
-                            handle(new StoreResponse.Failed(reason), onResponse);
-                        }
+                        runGuarded(run, () -> handle(new StoreResponse.Failed(reason), onResponse));
                     }
                 });
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/UpstreamListHandler.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/UpstreamListHandler.java
@@ -177,7 +177,7 @@
     private Optional<ListedUpstream> parse(UpstreamId id, StoreRecord record) {
         try {
             return mDialect.readUpstream(id, record.value());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mLog.line("upstream.fault").with("upstream", id).with("fault", e).log();
             return Optional.empty();
         }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/RunningGateway.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/RunningGateway.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.magnoliapick.gateway.internal.GatewayProcess;
 
 /** A gateway on loopback addresses whose configuration and upstreams are changed by tests. */
@@ -24,6 +25,7 @@
     /** How far the gateway's clock is ahead of the real one. */
     private final AtomicLong mClockLeadMillis = new AtomicLong();
 
+    private final AtomicReference<Error> mClockFault = new AtomicReference<>();
     private final List<AutoCloseable> mCloseables = new ArrayList<>();
     private final FakeStore mStore = new FakeStore();
     private final GatewayProcess mProcess;
@@ -37,11 +39,28 @@
                         TestSettings.withStore(mStore.port()),
                         dialect,
                         new PrintStream(mLog, true, StandardCharsets.UTF_8),
-                        () -> System.nanoTime() / 1_000_000 + mClockLeadMillis.get());
+                        this::readClock);
         mProcess.start();
         configure(config);
     }
 
+    private long readClock() {
+        Error fault = mClockFault.getAndSet(null);
+        if (fault != null) {
+            throw fault;
+        }
+        return System.nanoTime() / 1_000_000 + mClockLeadMillis.get();
+    }
+
+    /** Makes the next step of the gateway that reads the clock fail, and waits until it has. */
+    public void failNextStep(Error fault) {
+        mClockFault.set(fault);
+        while (mClockFault.get() != null) {
+            assertThat(Thread.currentThread().isInterrupted()).as(log()).isFalse();
+            Thread.onSpinWait();
+        }
+    }
+
     /** Appends a version of the configuration and waits until it is in force. */
     public void configure(String config) {
         appendConfig(config);
