Wait for a silent upstream if its stream may not be resumed

What callers saw: a stream whose upstream was silent for more than four gaps of its route was broken off in the middle, or failed before its first event, though the upstream might have continued. Cause: a stalled attempt was cancelled before it was decided whether the request may be sent again. With no attempt left, or the retry budget used up by other streams of the same upstream, there was nothing to resume it with. Silence of an upstream is no reason to end a response. Change: a stalled attempt is cancelled only if an attempt, time and budget are left for another one. Otherwise it goes on until its upstream continues, the caller leaves or the time of the route is over; attempt.stalled is logged once.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/FleetRetryBudget.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/FleetRetryBudget.java
@@ -58,15 +58,20 @@
         window(service, nowMillis).mRequests[bucketIndex(nowMillis)]++;
     }
 
-    /** Takes one retry from the budget; returns false if the budget is exhausted. */
-    public boolean tryRetry(String service, long nowMillis) {
+    /** Returns whether the budget allows a retry now, without taking it. */
+    public boolean allowsRetry(String service, long nowMillis) {
         Window window = window(service, nowMillis);
         double allowed =
                 SAFETY_FACTOR * (mFleetSlack / mInstances + mRatio * sum(window.mRequests));
-        if (sum(window.mRetries) + 1 > allowed) {
+        return sum(window.mRetries) + 1 <= allowed;
+    }
+
+    /** Takes one retry from the budget; returns false if the budget is exhausted. */
+    public boolean tryRetry(String service, long nowMillis) {
+        if (!allowsRetry(service, nowMillis)) {
             return false;
         }
-        window.mRetries[bucketIndex(nowMillis)]++;
+        window(service, nowMillis).mRetries[bucketIndex(nowMillis)]++;
         return true;
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayAttempts.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayAttempts.java
@@ -125,11 +125,23 @@
         return retry ? new RelayStep.Retry() : fail(ErrorKind.UPSTREAM_REFUSED);
     }
 
+    /**
+     * Returns whether the request might be sent again if the current attempt, which is running, was
+     * cancelled now.
+     */
+    public boolean mayRunAgain(FleetRetryBudget budget, long nowMillis) {
+        return hasAttemptLeft(mRuns + 1, nowMillis)
+                && budget.allowsRetry(mRequest.service(), nowMillis);
+    }
+
     private boolean tryRunAgain(FleetRetryBudget budget, long nowMillis) {
+        return hasAttemptLeft(mRuns, nowMillis) && budget.tryRetry(mRequest.service(), nowMillis);
+    }
+
+    private boolean hasAttemptLeft(int runs, long nowMillis) {
         return mRequest.route().retryable()
-                && mRuns < mRequest.route().maxAttempts()
-                && hasTimeLeft(nowMillis)
-                && budget.tryRetry(mRequest.service(), nowMillis);
+                && runs < mRequest.route().maxAttempts()
+                && hasTimeLeft(nowMillis);
     }
 
     private boolean tryResume(FleetRetryBudget budget, long nowMillis) {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/relay/RelayAttemptsTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/relay/RelayAttemptsTest.java
@@ -67,6 +67,15 @@
                 .isEqualTo(new RelayStep.Resume(12));
     }
 
+    @Test
+    void mayRunAgainOnlyBeforeTheLastAttemptAndWithBudget() {
+        RelayAttempts attempts = attempts(RouteKind.STREAM, true);
+        assertThat(attempts.mayRunAgain(mBudget, 10)).isTrue();
+        assertThat(attempts.mayRunAgain(mNoBudget, 10)).isFalse();
+        attempts.nextStep(AttemptEnd.CUT, mBudget, 10);
+        assertThat(attempts.mayRunAgain(mBudget, 20)).isFalse();
+    }
+
     @Test
     void abortsAStreamThatIsNotResumable() {
         RelayAttempts attempts = attempts(RouteKind.STREAM, false);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -46,6 +46,7 @@
     private EventSplitter mSplitter;
     private boolean mEventReceived;
     private StreamWatch mStallWatch;
+    private boolean mStallLogged;
 
     UpstreamCall(RelayContext context, RelayRequest request, Relay relay, ListedUpstream upstream) {
         mContext = context;
@@ -130,11 +131,25 @@
         }
     }
 
-    /** Ends the attempt with a timeout if its resumable stream has stalled. */
+    /**
+     * Ends the attempt with a timeout if its resumable stream has stalled and may be resumed. One
+     * that may not continues, because its upstream might.
+     */
     void tick(long nowMillis) {
-        if (mSent && mStallWatch.isStalled(nowMillis)) {
+        if (!mSent || !mStallWatch.isStalled(nowMillis)) {
+            return;
+        }
+        if (mRelay.attempts().mayRunAgain(mContext.budget(), nowMillis)) {
             mConnection.cancel();
             onFailure(AttemptEnd.TIMEOUT);
+        } else if (!mStallLogged) {
+            mStallLogged = true;
+            mContext.log()
+                    .line("attempt.stalled")
+                    .with("request", mRequest.id())
+                    .with("upstream", mUpstream.id())
+                    .with("eventReceived", mEventReceived)
+                    .log();
         }
     }
 
