--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -309,6 +309,11 @@
         }
     }
 
+    /** Returns the identifier of the request; empty until it was read. */
+    String requestId() {
+        return mRequest == null ? "" : mRequest.id();
+    }
+
     HttpRequest requestHead() {
         return mRequestHead;
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayGuard.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayGuard.java
@@ -41,7 +41,11 @@
     }
 
     private void logFault(Throwable fault) {
-        mLog.line("request.fault").with("path", mPath).withFault(fault).log();
+        mLog.line("request.fault")
+                .with("request", mRelay.requestId())
+                .with("path", mPath)
+                .withFault(fault)
+                .log();
     }
 
     /** Returns a listener that passes the response of an upstream on in guarded steps. */
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FaultLeavesRequestUnansweredTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FaultLeavesRequestUnansweredTest.java
@@ -109,7 +109,7 @@
     void logsTheFaultWithTheRequestThatItEnded() throws Exception {
         assertAnswered("read-exception", "500", "not-run");
         mGateway.awaitLogged(
-                "\"kind\":\"request.fault\",\"path\":\"/unsafe/x\","
+                "\"kind\":\"request.fault\",\"request\":\"\",\"path\":\"/unsafe/x\","
                         + "\"fault\":\"java.lang.IllegalStateException: read-exception1\"");
     }
 }
--- a/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
+++ b/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
@@ -41,6 +41,7 @@
                     "request.failed",
                     "request.timed-out",
                     "request.caller-gone",
+                    "request.fault",
                     "request.upstream-failure");
 
     private static final String WHOLE = "request.whole";
--- a/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
+++ b/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
@@ -271,6 +271,18 @@
         assertThat(mOut.toString()).contains("no end was logged");
     }
 
+    @Test
+    void tellsThatAFaultOfTheGatewayEndedARequest() throws IOException {
+        Path file = mDirectory.resolve("gateway.log");
+        Files.writeString(
+                file,
+                "{\"atMillis\":10,\"kind\":\"request.placed\",\"request\":\"ab\"}\n"
+                        + "{\"atMillis\":20,\"kind\":\"request.fault\",\"request\":\"ab\","
+                        + "\"fault\":\"java.lang.Error: odd\",\"at\":\"Relay.java:1\"}\n");
+        assertThat(run("logs", "explain", "ab", file.toString())).isZero();
+        assertThat(mOut.toString()).contains("Cause: a fault of the gateway itself ended it");
+    }
+
     @Test
     void tellsWhichPromptPartWasQuarantined() throws IOException {
         Path file = mDirectory.resolve("gateway.log");
