--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/ConfigDialect.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/ConfigDialect.java
@@ -19,9 +19,9 @@
 
 /**
  * A dialect for tests that reads the store. A configuration is a list of statements that end in a
- * semicolon: {@code version NUMBER}, {@code idle MILLIS}, {@code service NAME}, {@code key KEY
- * WORKSPACE} and {@code route NAME KIND SERVICE TIMEOUT_MILLIS}. An upstream is {@code SERVICE PORT
- * STARTED_MILLIS}, followed by {@code leaving} if it is.
+ * semicolon: {@code version NUMBER}, {@code header MILLIS}, {@code idle MILLIS}, {@code service
+ * NAME}, {@code key KEY WORKSPACE} and {@code route NAME KIND SERVICE TIMEOUT_MILLIS}. An upstream
+ * is {@code SERVICE PORT STARTED_MILLIS}, followed by {@code leaving} if it is.
  */
 public class ConfigDialect extends FakeDialect {
     private static final long OBJECTIVE_MILLIS = 1_000;
@@ -43,6 +43,7 @@
     @Override
     public Optional<TrafficConfig> readConfig(String key, byte[] value) {
         long version = 0;
+        long headerMillis = 1_000;
         long idleMillis = 10_000;
         List<Route> routes = new ArrayList<>();
         List<ServiceSpec> services = new ArrayList<>();
@@ -51,6 +52,7 @@
             String[] words = statement.trim().split(" ");
             switch (words[0]) {
                 case "version" -> version = Long.parseLong(words[1]);
+                case "header" -> headerMillis = Long.parseLong(words[1]);
                 case "idle" -> idleMillis = Long.parseLong(words[1]);
                 case "service" -> services.add(new ServiceSpec(words[1], 10, Optional.empty()));
                 case "key" -> workspaces.add(workspace(words[2], words[1]));
@@ -64,7 +66,7 @@
                         routes,
                         services,
                         workspaces,
-                        new CallerLimits(16_384, 65_536, 1_000, idleMillis),
+                        new CallerLimits(16_384, 65_536, headerMillis, idleMillis),
                         OptionalLong.empty()));
     }
 
