--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -7,14 +7,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -25,45 +20,47 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
-import java.util.OptionalLong;
 import org.magnoliapick.errors.ErrorKind;
-import org.magnoliapick.gateway.internal.relay.CallerResponse;
 import org.magnoliapick.gateway.internal.relay.Relay;
+import org.magnoliapick.relay.RequestWait;
 
 /**
  * A connection from a caller. Requests are processed one at a time. Reading continues while a
  * request is in flight, so that a disconnect of the caller is detected; requests that are pipelined
  * meanwhile are queued.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerResponse {
+final class CallerConnection extends ChannelInboundHandlerAdapter {
     /** Queued HTTP objects (request heads and body chunks) at which reading is paused. */
     private static final int MAX_PIPELINED_OBJECTS = 16;
 
     private final CallerServer mServer;
+    private final RequestDecoder mDecoder;
+    private final RequestWait mWait = new RequestWait();
     private final Deque<Object> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
     private HttpRequest mHead;
     private ByteBuf mBody;
+    private CallerExchange mExchange;
     private Relay mRelay;
     private boolean mResponding;
     private boolean mKeepAlive = true;
     private boolean mClosing;
+    private boolean mHandlingPipelined;
 
-    /** When the connection was opened, the last head arrived or the last response ended. */
-    private long mPhaseStartMillis;
+    /** When the last head arrived. */
+    private long mArrivedMillis;
 
-    CallerConnection(CallerServer server) {
+    CallerConnection(CallerServer server, RequestDecoder decoder) {
         mServer = server;
+        mDecoder = decoder;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         mChannel = ctx.channel();
-        mPhaseStartMillis = mServer.nowMillis();
+        mWait.begin(mServer.limits(), mServer.nowMillis());
         mServer.opened(this);
     }
 
@@ -116,7 +113,7 @@
     }
 
     private void onHead(HttpRequest head) {
-        mPhaseStartMillis = mServer.nowMillis();
+        mArrivedMillis = mServer.nowMillis();
         if (head.decoderResult().isFailure()) {
             rejectAndClose(statusFor(head.decoderResult().cause()));
             return;
@@ -170,8 +167,9 @@
         ByteBuf body = mBody;
         mBody = null;
         HttpRequest head = mHead;
-        Relay relay = mServer.relays().accept(head, body, this, mPhaseStartMillis);
-        // The response may be complete already, and a pipelined request may have been started.
+        mExchange = new CallerExchange(this, mChannel);
+        Relay relay = mServer.relays().accept(head, body, mExchange, mArrivedMillis);
+        // The response may be complete already.
         if (mResponding && mHead == head) {
             mRelay = relay;
         }
@@ -195,88 +193,76 @@
         mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
-    @Override
-    public void sendComplete(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
-        DefaultFullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE);
-        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        setConnectionHeader(headers);
-        mChannel.write(response);
-        finishResponse();
-    }
-
-    @Override
-    public void sendHead(HttpResponseStatus status, HttpHeaders headers) {
-        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        setConnectionHeader(headers);
-        mChannel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
-    }
-
-    @Override
-    public void sendChunk(ByteBuf chunk) {
-        mChannel.writeAndFlush(new DefaultHttpContent(chunk), mChannel.voidPromise());
-    }
-
-    @Override
-    public void end() {
-        mChannel.write(LastHttpContent.EMPTY_LAST_CONTENT);
-        finishResponse();
-    }
-
-    @Override
-    public void sendError(ErrorKind kind, OptionalLong retryAfterMillis) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        if (retryAfterMillis.isPresent()) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, formatSeconds(retryAfterMillis.getAsLong()));
-        }
-        headers.set("Magnoliapick-Outcome", kind.outcome().wireName());
-        headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
-        ByteBuf body = Unpooled.copiedBuffer(kind.wireName() + "\n", StandardCharsets.US_ASCII);
-        sendComplete(HttpResponseStatus.valueOf(kind.httpStatus()), headers, body);
-    }
-
-    private static String formatSeconds(long millis) {
-        return millis / 1_000 + "." + String.format(Locale.ROOT, "%03d", millis % 1_000);
-    }
-
-    @Override
-    public void abort() {
-        mRelay = null;
-        mClosing = true;
-        mChannel.close();
+    /** Returns whether the connection stays open after the response that is sent now. */
+    boolean staysOpen() {
+        return mKeepAlive && (!mServer.isDraining() || isNextRequestRead());
     }
 
-    @Override
-    public boolean isWritable() {
-        return mChannel.isWritable();
+    /** Returns whether the caller has sent another request, or part of one, that was read. */
+    private boolean isNextRequestRead() {
+        return !mPipelined.isEmpty() || mDecoder.isInsideRequest() || mDecoder.hasUndecodedBytes();
     }
 
-    private void setConnectionHeader(HttpHeaders headers) {
-        if (!mKeepAlive || mServer.isDraining()) {
-            mKeepAlive = false;
-            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
-    }
-
-    private void finishResponse() {
+    /**
+     * Ends the current request after its response was written.
+     *
+     * @param closeAnnounced whether the response asked the caller to close the connection
+     */
+    void responseEnded(boolean closeAnnounced) {
         mResponding = false;
         mRelay = null;
         mHead = null;
-        mPhaseStartMillis = mServer.nowMillis();
-        if (!mKeepAlive || mServer.isClosing()) {
+        mWait.begin(mServer.limits(), mServer.nowMillis());
+        if (closeAnnounced) {
             mClosing = true;
+            logDropped();
             releasePipelined();
             mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
         }
         mChannel.flush();
         mChannel.config().setAutoRead(true);
-        while (!mResponding && !mClosing && !mPipelined.isEmpty()) {
-            handle(mPipelined.poll());
+        handlePipelined();
+    }
+
+    /**
+     * Handles the objects that were read during a response, until another request is in flight. A
+     * request that is answered at once is followed by the next one in the same loop, so that the
+     * depth of the stack does not grow with their number.
+     */
+    private void handlePipelined() {
+        if (mHandlingPipelined) {
+            return;
+        }
+        mHandlingPipelined = true;
+        try {
+            while (!mResponding && !mClosing && !mPipelined.isEmpty()) {
+                handle(mPipelined.poll());
+            }
+        } finally {
+            mHandlingPipelined = false;
         }
     }
 
+    /** Logs the requests that the caller sent after it had received the request to close. */
+    private void logDropped() {
+        long dropped = mPipelined.stream().filter(HttpRequest.class::isInstance).count();
+        if (dropped > 0) {
+            mServer.log()
+                    .line("caller.closed")
+                    .with("reason", mKeepAlive ? "stopping" : "caller")
+                    .with("unansweredRequests", dropped)
+                    .log();
+        }
+    }
+
+    /** Closes the connection in the middle of a response. */
+    void abort() {
+        mRelay = null;
+        mClosing = true;
+        mChannel.close();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (mRelay != null) {
@@ -286,28 +272,63 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (!(cause instanceof IOException)) {
-            mServer.log()
-                    .line("caller.fault")
-                    .with("fault", cause)
-                    .with("at", cause.getStackTrace().length > 0 ? cause.getStackTrace()[0] : "")
-                    .log();
+        if (cause instanceof IOException) {
+            ctx.close();
+            return;
+        }
+        mServer.log()
+                .line("caller.fault")
+                .with("path", mHead == null ? "" : mHead.uri())
+                .with("responding", mResponding)
+                .withFault(cause)
+                .log();
+        // The state of the connection is unknown, so it ends with the answer to the request.
+        mKeepAlive = false;
+        if (mRelay != null) {
+            mRelay.connectionFailed();
+        } else if (mResponding) {
+            mExchange.fail(ErrorKind.INTERNAL);
+        } else if (!mClosing) {
+            rejectAndClose(HttpResponseStatus.INTERNAL_SERVER_ERROR);
         }
-        ctx.close();
     }
 
     /**
-     * Closes the connection if it has waited for a request head beyond the idle timeout, or waits
-     * for one while the server is closing connections.
+     * Closes the connection if it has waited for a request beyond the idle timeout, or waits for
+     * one while the server is closing connections. Rejects a request whose head is overdue.
      */
     void sweep(long nowMillis) {
         if (mResponding || mClosing || mHead != null) {
             return;
         }
-        boolean idle = nowMillis - mPhaseStartMillis > mServer.limits().idleTimeoutMillis();
-        if (idle || mServer.isClosing()) {
+        RequestWait.Verdict verdict =
+                mWait.check(
+                        mServer.limits(),
+                        mDecoder.isInsideRequest(),
+                        mServer.isClosing(),
+                        nowMillis);
+        if (verdict == RequestWait.Verdict.KEEP) {
+            return;
+        }
+        boolean headOverdue = verdict == RequestWait.Verdict.REJECT;
+        mServer.log()
+                .line("caller.closed")
+                .with("reason", reason(headOverdue))
+                .with("waitedMillis", mWait.waitedMillis(nowMillis))
+                .with("idleLimitMillis", mWait.idleLimitMillis(mServer.limits()))
+                .log();
+        if (headOverdue) {
+            rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else {
             mClosing = true;
             mChannel.close();
         }
     }
+
+    private String reason(boolean headOverdue) {
+        if (headOverdue) {
+            return "head-timeout";
+        }
+        return mServer.isClosing() ? "stopping" : "idle";
+    }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -35,6 +35,7 @@
     private final CallerResponse mResponse;
     private final RelayConnections mConnections;
     private final RelayedStream mStream = new RelayedStream();
+    private final RelayGuard mGuard;
     private RelayRequest mRequest;
     private RelayAttempts mAttempts;
     private int mRank;
@@ -67,7 +68,37 @@
         mRequestHead = requestHead;
         mRequestBody = requestBody;
         mResponse = response;
-        mConnections = new RelayConnections(pools);
+        mGuard = new RelayGuard(this, context.log(), requestHead.uri());
+        mConnections = new RelayConnections(pools, mGuard);
+    }
+
+    /** Returns the guard in which all steps of this request run. */
+    RelayGuard guard() {
+        return mGuard;
+    }
+
+    /** Ends the request after a fault in the handlers of its connection, which was logged. */
+    public void connectionFailed() {
+        mGuard.run(this::endWithFault);
+    }
+
+    /** Ends the request after a fault of the gateway itself, which was logged. */
+    void endWithFault() {
+        if (mClosed) {
+            return;
+        }
+        boolean mayHaveRun =
+                mAttempts != null
+                        && (mAttempts.mayHaveRun() || (mCall != null && mCall.mayHaveSent()));
+        ErrorKind kind = mayHaveRun ? ErrorKind.INTERNAL_AFTER_START : ErrorKind.INTERNAL;
+        try {
+            cancelOrWithdraw();
+        } finally {
+            if (!mClosed) {
+                finishWithError(kind);
+            }
+            mResponse.fail(kind);
+        }
     }
 
     /** Rejects the request before it is submitted to a pool. */
@@ -91,7 +122,7 @@
         mTimer =
                 mContext.loop()
                         .schedule(
-                                this::onTimeout,
+                                () -> mGuard.run(this::onTimeout),
                                 Math.max(0, remainingMillis),
                                 TimeUnit.MILLISECONDS);
         submitToPool(mContext.nowMillis());
@@ -240,6 +271,10 @@
 
     /** Cancels the request because the caller closed its connection. */
     public void callerDisconnected() {
+        mGuard.run(this::cancelForCaller);
+    }
+
+    private void cancelForCaller() {
         if (mClosed) {
             return;
         }
@@ -254,7 +289,7 @@
     /** Pauses or resumes reading from the upstream when the caller's writability changed. */
     public void callerWritabilityChanged() {
         if (mCall != null) {
-            mCall.setAutoRead(mResponse.isWritable());
+            mGuard.run(() -> mCall.setAutoRead(mResponse.isWritable()));
         }
     }
 
@@ -294,6 +329,11 @@
         }
     }
 
+    /** Returns the identifier of the request; empty until it was read. */
+    String requestId() {
+        return mRequest == null ? "" : mRequest.id();
+    }
+
     HttpRequest requestHead() {
         return mRequestHead;
     }
@@ -480,17 +520,6 @@
         if (mPlacement == null) {
             return line.with("placed", false);
         }
-        return line.with("upstream", mPlacement.upstream())
-                .with("cause", mPlacement.cause().logName())
-                .with("waitedMillis", mPlacement.waitedMillis())
-                .with("newTokens", mPlacement.newTokens())
-                .with("aheadTokens", mPlacement.aheadTokens());
-    }
-
-    private record Placement(
-            PoolCause cause,
-            long waitedMillis,
-            UpstreamId upstream,
-            long newTokens,
-            long aheadTokens) {}
+        return mPlacement.addTo(line);
+    }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayConnections.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayConnections.java
@@ -12,16 +12,22 @@
  */
 final class RelayConnections {
     private final Pools mPools;
+    private final RelayGuard mGuard;
     private final Set<HttpConnection> mUsed = new HashSet<>();
 
-    RelayConnections(Pools pools) {
+    RelayConnections(Pools pools, RelayGuard guard) {
         mPools = pools;
+        mGuard = guard;
     }
 
     /** Acquires a connection for an attempt that no attempt was sent on before. */
     void acquire(ListedUpstream upstream, long nowMillis, UpstreamCall call) {
         mPools.connections(upstream)
-                .acquire(nowMillis, mUsed, call::onConnected, call::onConnectFailed);
+                .acquire(
+                        nowMillis,
+                        mUsed,
+                        connection -> mGuard.run(() -> call.onConnected(connection)),
+                        () -> mGuard.run(call::onConnectFailed));
     }
 
     /** Records that an attempt was sent on a connection. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -53,6 +53,7 @@
     private long mLastReceived;
 
     private StreamWatch mStallWatch;
+    private boolean mStallLogged;
 
     UpstreamCall(RelayContext context, RelayRequest request, Relay relay, ListedUpstream upstream) {
         mContext = context;
@@ -81,7 +82,7 @@
         mConnection = connection;
         mResumed = mRelay.attempts().isHeadRelayed();
         mStallWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
-        if (connection.send(forwardedHead(), mRelay.requestBody(), this)) {
+        if (connection.send(forwardedHead(), mRelay.requestBody(), mRelay.guard().guarded(this))) {
             mSent = true;
             mRelay.connections().sent(connection);
             mSentMillis = mContext.nowMillis();
@@ -143,11 +144,25 @@
         }
     }
 
-    /** Ends the attempt with a timeout if its resumable stream has stalled. */
+    /**
+     * Ends the attempt with a timeout if its resumable stream has stalled and may be resumed. One
+     * that may not continues, because its upstream might.
+     */
     void tick(long nowMillis) {
-        if (mSent && mStallWatch.isStalled(nowMillis)) {
+        if (!mSent || !mStallWatch.isStalled(nowMillis)) {
+            return;
+        }
+        if (mRelay.attempts().mayRunAgain(mContext.budget(), nowMillis)) {
             mConnection.cancel();
             onFailure(AttemptEnd.TIMEOUT);
+        } else if (!mStallLogged) {
+            mStallLogged = true;
+            mContext.log()
+                    .line("attempt.stalled")
+                    .with("request", mRequest.id())
+                    .with("upstream", mUpstream.id())
+                    .with("eventReceived", mEventReceived)
+                    .log();
         }
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigHandler.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigHandler.java
@@ -90,7 +90,7 @@
                         .log();
             }
             return config;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mLog.line("config.unreadable").with("offset", record.offset()).with("fault", e).log();
             return Optional.empty();
         }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/StoreFollower.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/StoreFollower.java
@@ -128,11 +128,11 @@
     private void runGuarded(Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mLog.line("store.fault")
                     .with("topic", mHandler.topic())
                     .with("nextOffset", mNextOffset)
-                    .with("fault", e)
+                    .withFault(e)
                     .log();
             beginRun();
             retryLater(() -> readSnapshot(Optional.empty()));
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/UpstreamListHandler.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/UpstreamListHandler.java
@@ -145,11 +145,11 @@
     private boolean applyRecord(StoreRecord record, Put put) {
         try {
             return applyUnguarded(record, put);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mLog.line("upstream.fault")
                     .with("upstream", record.key())
                     .with("offset", record.offset())
-                    .with("fault", e)
+                    .withFault(e)
                     .with("value", record.excerpt())
                     .log();
             return false;
