Log the fingerprint of a request that lost its upstream

attempt.ended had the prompt parts of a lost request but nothing of its path, caller and body, so repetitions of one request looked like unrelated ones. It now has a hash over method, path, workspace and body; the caller's identifier of the attempt is not in it, since each repetition has another one.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayRequest.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayRequest.java
@@ -13,6 +13,7 @@
  * @param service the service that the request is for
  * @param workspace the workspace of the request; absent on public routes
  * @param prompt its size, if it is for a model engine
+ * @param fingerprint identifies its content
  * @param resumeAfter the last event that the caller received, if it asks to resume a stream
  * @param arrivedMillis when the request's head arrived
  * @param firstRequestedMillis when the caller made its first attempt; before the arrival for a
@@ -26,6 +27,7 @@
         String service,
         Optional<WorkspaceId> workspace,
         Prompt prompt,
+        Fingerprint fingerprint,
         OptionalLong resumeAfter,
         long arrivedMillis,
         long firstRequestedMillis,
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
@@ -11,6 +11,7 @@
 import org.magnoliapick.lib.WorkspaceId;
 import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.quarantine.PromptQuarantine;
+import org.magnoliapick.relay.Fingerprint;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.relay.RelayRequest;
@@ -94,6 +95,7 @@
                 "s",
                 Optional.of(new WorkspaceId("w")),
                 new Prompt(100 * prompt.size(), 100, prompt),
+                new Fingerprint(number),
                 OptionalLong.empty(),
                 nowMillis,
                 nowMillis,
--- a/magnoliapick-core/src/test/java/org/magnoliapick/relay/Requests.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/relay/Requests.java
@@ -37,6 +37,7 @@
                 "s",
                 Optional.of(new WorkspaceId("w")),
                 Prompt.UNKNOWN,
+                new Fingerprint(1),
                 OptionalLong.empty(),
                 0,
                 0,
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -348,6 +348,7 @@
                 .with("end", end)
                 .with("eventReceived", mEventReceived)
                 .with("parts", mRequest.prompt().describeParts())
+                .with("fingerprint", mRequest.fingerprint())
                 .with("tookMillis", elapsedMillis())
                 .log();
         ListedUpstream upstream = mTicket.upstream();
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -105,7 +105,7 @@
         } else if (config.isEmpty() || !acceptsRequests()) {
             relay.reject(ErrorKind.NOT_READY, OptionalLong.of(NOT_READY_RETRY_AFTER_MILLIS));
         } else {
-            routeRequest(relay, head, parsedHead.get(), config.get(), arrivedMillis);
+            routeRequest(relay, head, body, parsedHead.get(), config.get(), arrivedMillis);
         }
         return relay;
     }
@@ -118,6 +118,7 @@
     private void routeRequest(
             Relay relay,
             HttpRequest head,
+            ByteBuf body,
             RequestHead parsedHead,
             TrafficConfig config,
             long arrivedMillis) {
@@ -144,6 +145,7 @@
                         service.get(),
                         id,
                         parsedHead.prompt(),
+                        RequestHash.of(head, id, body),
                         parsedHead.resumeAfter(),
                         arrivedMillis,
                         arrivedMillis
