--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolCause.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolCause.java
@@ -18,7 +18,7 @@
     TOO_LATE(ErrorKind.WORKSPACE_QUEUE_FULL),
     /** The queue is full. */
     QUEUE_FULL(ErrorKind.INSTANCE_QUEUE_FULL),
-    /** Upstreams crashed that began to answer requests with a part of the prompt. */
+    /** Upstreams crashed that ran the same request, or requests with a part of the prompt. */
     QUARANTINED(ErrorKind.QUARANTINED),
     /** The rate limits of all upstreams leave no room in time. */
     RATE_LIMITED(ErrorKind.WORKSPACE_QUEUE_FULL);
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolJob.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolJob.java
@@ -6,8 +6,10 @@
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.relay.Fingerprint;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.RelayRequest;
+import org.magnoliapick.relay.RequestContent;
 
 /**
  * A request that needs an upstream.
@@ -17,6 +19,7 @@
  * @param account the workspace whose share it uses; "-" if it has none
  * @param domain the failure domain of the requesting instance
  * @param prompt the size and the parts of its prompt
+ * @param fingerprint identifies its content; unknown if it is not from this build
  * @param objectiveMillis how long its answer may take to meet the objective
  * @param dueMillis when its answer, or the first event of a stream, has to arrive to meet the
  *     objective
@@ -38,6 +41,7 @@
         WorkspaceId account,
         FailureDomain domain,
         Prompt prompt,
+        Fingerprint fingerprint,
         long objectiveMillis,
         long dueMillis,
         boolean callerRetry,
@@ -57,6 +61,11 @@
         unreachable = Set.copyOf(unreachable);
     }
 
+    /** Returns what the request asks for. */
+    public RequestContent content() {
+        return new RequestContent(service, prompt, fingerprint);
+    }
+
     /** Returns the job for a request of this instance. */
     public static PoolJob of(
             RelayRequest request,
@@ -73,6 +82,7 @@
                 request.workspace().orElse(NO_WORKSPACE),
                 domain,
                 request.prompt(),
+                request.fingerprint(),
                 request.route().objectiveMillis(),
                 request.dueMillis(),
                 request.isCallerRetry(),
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -55,7 +55,7 @@
     /**
      * Creates a scheduler without upstreams.
      *
-     * @param quarantine the prompt parts with which requests are refused
+     * @param quarantine the poison requests, which are refused
      * @param rateLimits the rate limits that upstreams named
      */
     public PoolScheduler(
@@ -141,8 +141,7 @@
      * others.
      */
     public List<PoolAction> submit(PoolJob job, long nowMillis) {
-        Optional<Quarantine> quarantine =
-                mQuarantine.admit(mService.name(), job.prompt(), nowMillis);
+        Optional<Quarantine> quarantine = mQuarantine.admit(job.content(), nowMillis);
         if (quarantine.isPresent()) {
             return List.of(refuse(job, quarantine.get(), nowMillis));
         }
@@ -265,7 +264,7 @@
         List<PoolAction> refusals = new ArrayList<>();
         for (PoolJob job : mWaiting.jobs()) {
             mQuarantine
-                    .find(mService.name(), job.prompt(), nowMillis)
+                    .find(job.content(), nowMillis)
                     .ifPresent(
                             quarantine -> {
                                 mWaiting.remove(job);
--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
@@ -2,55 +2,33 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import org.magnoliapick.lib.UpstreamId;
-import org.magnoliapick.relay.Prompt;
-import org.magnoliapick.relay.PromptPart;
+import org.magnoliapick.relay.RequestContent;
 
 /**
- * Refuses requests with a poison part: one that makes each upstream crash that begins to answer it.
- * Each request with such a part would cost an upstream with all its requests, so the part has to be
- * found from few crashes.
+ * Refuses poison requests: those that make each upstream crash that runs them, by a prompt part
+ * that they have in common or as repetitions of one request. Each of them would cost an upstream
+ * with all its requests, so what they have in common has to be found from few crashes.
  *
- * <p>A part is suspected if a request with it had received nothing when its upstream crashed. Any
- * later answer to a request with the part refutes this. After several crashes without an answer the
- * part is quarantined; when the quarantine ends, single requests are sent as probes. A sound part
- * that always occurs together with a poison part looks the same, so a request is refused only if it
- * has all parts that cannot be told apart. The last part of a prompt is never suspected: it belongs
- * to one request or session, which is sent only to a few upstreams.
+ * <p>The prompt parts and the fingerprint of a request are suspected if the request had received
+ * nothing when its upstream crashed. Any later answer to a request that has the part or fingerprint
+ * refutes this. After several crashes without an answer it is quarantined; when the quarantine
+ * ends, single requests are sent as probes. What is sound but always occurs together with the
+ * poison looks the same, so a request is refused only if it has everything that cannot be told
+ * apart. The last part of a prompt is never suspected: it belongs to one request or session.
  *
  * <p>Instances exchange the crashes that they noticed. What is known is a set of crashes that are
  * refuted or not; sets are merged, so the order and repetition of messages do not matter.
  */
 public final class PromptQuarantine {
-    /** The number of crashes without an answer after which a part is quarantined. */
-    private static final int MIN_CRASHES = 3;
-
-    /**
-     * The minimum number of different requests at these crashes; a single one may crash upstreams
-     * by its own content.
-     */
-    private static final int MIN_REQUESTS = 2;
-
-    /** The duration of a quarantine, which doubles with each further crash, in milliseconds. */
-    private static final long BASE_MILLIS = 60_000;
-
-    /** The maximum duration of a quarantine; older crashes are forgotten, in milliseconds. */
-    private static final long MAX_MILLIS = 600_000;
-
-    /** The time from a probe until the next one, in milliseconds. */
-    private static final long PROBE_MILLIS = 10_000;
-
-    /** The maximum number of suspected parts; those with the fewest crashes are dropped. */
-    private static final int MAX_SUSPECTS = 64;
+    /** How long a crash is remembered, in milliseconds. */
+    private static final long MAX_AGE_MILLIS = 600_000;
 
     /**
      * How long an answer before a crash speaks for a part, in milliseconds: a part of many requests
@@ -58,46 +36,21 @@
      */
     private static final long TRUST_MILLIS = 3_000;
 
-    /** The number of parts whose last answer is known. */
-    private static final int MAX_ANSWERED = 1_024;
-
-    /**
-     * The time of an event that has not happened. It is half the minimum, so that the time since it
-     * does not overflow.
-     */
-    private static final long NEVER = Long.MIN_VALUE / 2;
-
-    /** The maximum number of parts in one update. */
-    private static final int MAX_REPORTS = 16;
-
-    private final Map<PartKey, Entry> mSuspects = new HashMap<>();
-    private final Map<PartKey, Long> mAnsweredMillis =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<PartKey, Long> eldest) {
-                    return size() > MAX_ANSWERED;
-                }
-            };
+    private final SuspectTable mSuspects = new SuspectTable();
+    private final AnswerTimes mAnswers = new AnswerTimes();
     private final List<QuarantineChange> mChanges = new ArrayList<>();
-    private long mVersion;
 
-    /**
-     * Returns the quarantine that a request falls under.
-     *
-     * @param service the service that the request is for
-     */
-    public Optional<Quarantine> find(String service, Prompt prompt, long nowMillis) {
+    /** Returns the quarantine that a request falls under. */
+    public Optional<Quarantine> find(RequestContent content, long nowMillis) {
         if (mSuspects.isEmpty()) {
             return Optional.empty();
         }
-        Set<PartKey> keys = keys(service, prompt);
+        Set<SuspectKey> keys = SuspectKey.of(content);
         return keys.stream()
-                .flatMap(key -> Optional.ofNullable(mSuspects.get(key)).stream())
-                .filter(entry -> nowMillis < entry.endMillis())
-                .filter(entry -> keys.containsAll(indistinguishable(entry)))
-                .map(entry -> entry.quarantine(entry.endMillis()))
+                .flatMap(key -> mSuspects.find(key).stream())
+                .filter(each -> each.isQuarantined(nowMillis))
+                .filter(each -> appliesTo(each, keys))
+                .map(Suspect::quarantine)
                 .max(Comparator.comparingLong(Quarantine::endMillis));
     }
 
@@ -106,39 +59,48 @@
      * quarantine lets a single request pass as a probe. Only the instance that places the request
      * calls this.
      */
-    public Optional<Quarantine> admit(String service, Prompt prompt, long nowMillis) {
-        Optional<Quarantine> quarantine = find(service, prompt, nowMillis);
+    public Optional<Quarantine> admit(RequestContent content, long nowMillis) {
+        Optional<Quarantine> quarantine = find(content, nowMillis);
         if (quarantine.isPresent() || mSuspects.isEmpty()) {
             return quarantine;
         }
-        Set<PartKey> keys = keys(service, prompt);
-        for (PartKey key : keys) {
-            Entry entry = mSuspects.get(key);
-            if (entry == null || !entry.isPoison() || !keys.containsAll(indistinguishable(entry))) {
+        Set<SuspectKey> keys = SuspectKey.of(content);
+        for (SuspectKey key : keys) {
+            Optional<Suspect> suspect =
+                    mSuspects
+                            .find(key)
+                            .filter(Suspect::isPoison)
+                            .filter(each -> appliesTo(each, keys));
+            if (suspect.isEmpty()) {
                 continue;
             }
-            if (nowMillis < entry.mProbeEndMillis) {
-                return Optional.of(entry.quarantine(entry.mProbeEndMillis));
+            Optional<Quarantine> untilProbe = suspect.get().untilProbe(nowMillis);
+            if (untilProbe.isPresent()) {
+                return untilProbe;
             }
-            entry.mProbeEndMillis = nowMillis + PROBE_MILLIS;
-            addChange(QuarantineChange.Kind.PROBED, entry);
+            suspect.get().probed(nowMillis);
+            addChange(QuarantineChange.Kind.PROBED, suspect.get());
         }
         return Optional.empty();
     }
 
     /**
      * Returns whether a request that lost its upstream without any answer is to be sent to another
-     * one: not if an upstream crashed in the same way before with another request that has one of
-     * its parts, and no answer to a request with that part is known.
+     * one: not if an upstream crashed in the same way before with a repetition of it, or with
+     * another request that has one of its parts, and no answer to such a request is known.
      */
-    public boolean mayRetry(String service, Prompt prompt, String request) {
-        return keys(service, prompt).stream()
-                .filter(key -> !mAnsweredMillis.containsKey(key))
-                .flatMap(key -> Optional.ofNullable(mSuspects.get(key)).stream())
-                .noneMatch(
-                        entry ->
-                                entry.mPart.requests().stream()
-                                        .anyMatch(each -> !each.equals(request)));
+    public boolean mayRetry(RequestContent content) {
+        return SuspectKey.of(content).stream()
+                .filter(key -> mAnswers.last(key).isEmpty())
+                .flatMap(key -> mSuspects.find(key).stream())
+                .noneMatch(each -> isAccusedByAnother(each, content));
+    }
+
+    private static boolean isAccusedByAnother(Suspect suspect, RequestContent content) {
+        return suspect.key().kind() == SuspectKey.Kind.FINGERPRINT
+                ? suspect.crashes() > 0
+                : suspect.requests().stream()
+                        .anyMatch(each -> !each.equals(content.fingerprint().toString()));
     }
 
     /**
@@ -148,110 +110,88 @@
      * @param crashedMillis when the crash was noticed
      */
     public void recordCrash(
-            String service,
-            Prompt prompt,
-            String request,
-            UpstreamId upstream,
-            long startedMillis,
-            long crashedMillis) {
-        for (PartKey key : keys(service, prompt)) {
+            RequestContent content, UpstreamId upstream, long startedMillis, long crashedMillis) {
+        for (SuspectKey key : SuspectKey.of(content)) {
             Sighting sighting =
                     new Sighting(
                             upstream,
                             startedMillis,
-                            new TreeSet<>(Set.of(request)),
+                            new TreeSet<>(Set.of(content.fingerprint().toString())),
                             crashedMillis,
                             false);
             if (!isAnsweredSince(key, crashedMillis - TRUST_MILLIS)) {
                 add(key, sighting);
             }
         }
-        dropExcess();
+        mSuspects.dropExcess();
     }
 
     /** Records that a request received an event, or its whole answer if that is no stream. */
-    public void recordAnswer(String service, Prompt prompt, long nowMillis) {
-        for (PartKey key : keys(service, prompt)) {
-            mAnsweredMillis.put(key, nowMillis);
-            Entry entry = mSuspects.get(key);
-            if (entry != null && entry.mPart.refute()) {
-                refuted(entry);
-            }
+    public void recordAnswer(RequestContent content, long nowMillis) {
+        for (SuspectKey key : SuspectKey.of(content)) {
+            mAnswers.record(key, nowMillis);
+            mSuspects.find(key).filter(Suspect::refute).ifPresent(this::refuted);
         }
     }
 
-    private void refuted(Entry entry) {
-        entry.mVersion = ++mVersion;
-        entry.mQuarantined = false;
-        addChange(QuarantineChange.Kind.REFUTED, entry);
+    private void refuted(Suspect suspect) {
+        mSuspects.changed(suspect);
+        addChange(QuarantineChange.Kind.REFUTED, suspect);
     }
 
-    private boolean isAnsweredSince(PartKey key, long millis) {
-        Long answeredMillis = mAnsweredMillis.get(key);
-        return answeredMillis != null && answeredMillis >= millis;
+    private boolean isAnsweredSince(SuspectKey key, long millis) {
+        OptionalLong answeredMillis = mAnswers.last(key);
+        return answeredMillis.isPresent() && answeredMillis.getAsLong() >= millis;
     }
 
     /** Applies what another instance knows; times are of this instance's clock. */
     public void applyUpdate(SuspectUpdate update) {
         for (SuspectReport report : update.suspects()) {
             for (Sighting each : report.sightings()) {
-                add(report.part(), each);
+                add(report.key(), each);
             }
-            refuteIfAnswered(report.part());
+            refuteIfAnswered(report.key());
         }
-        dropExcess();
+        mSuspects.dropExcess();
     }
 
-    /** Refutes crashes that were reported here only after the part was answered. */
-    private void refuteIfAnswered(PartKey key) {
-        Entry entry = mSuspects.get(key);
-        if (entry != null
-                && !entry.mPart.unrefuted().isEmpty()
-                && isAnsweredSince(key, entry.mPart.lastMillis())
-                && entry.mPart.refute()) {
-            refuted(entry);
-        }
+    /** Refutes crashes that were reported here only after an answer. */
+    private void refuteIfAnswered(SuspectKey key) {
+        mSuspects
+                .find(key)
+                .filter(each -> !each.unrefuted().isEmpty())
+                .filter(each -> isAnsweredSince(key, each.lastMillis()))
+                .filter(Suspect::refute)
+                .ifPresent(this::refuted);
     }
 
-    private void add(PartKey key, Sighting sighting) {
-        Entry entry = mSuspects.computeIfAbsent(key, each -> new Entry(new SuspectPart(each)));
-        int crashesBefore = entry.mPart.crashes();
-        int sightingsBefore = entry.mPart.unrefuted().size();
-        if (!entry.mPart.add(sighting)) {
+    private void add(SuspectKey key, Sighting sighting) {
+        Suspect suspect = mSuspects.getOrAdd(key);
+        int crashesBefore = suspect.crashes();
+        int sightingsBefore = suspect.unrefuted().size();
+        if (!suspect.add(sighting)) {
             return;
         }
-        entry.mVersion = ++mVersion;
-        if (entry.mPart.unrefuted().size() > sightingsBefore) {
-            addChange(QuarantineChange.Kind.SUSPECTED, entry);
+        mSuspects.changed(suspect);
+        if (suspect.unrefuted().size() > sightingsBefore) {
+            addChange(QuarantineChange.Kind.SUSPECTED, suspect);
         }
-        if (entry.isPoison() && (!entry.mQuarantined || entry.mPart.crashes() > crashesBefore)) {
-            entry.mQuarantined = true;
-            addChange(QuarantineChange.Kind.QUARANTINED, entry);
+        if (suspect.isPoison() && (!suspect.isAnnounced() || suspect.crashes() > crashesBefore)) {
+            suspect.announced();
+            addChange(QuarantineChange.Kind.QUARANTINED, suspect);
         }
     }
 
     /** Forgets crashes that are too old. */
     public void tick(long nowMillis) {
-        mSuspects
-                .values()
-                .removeIf(
-                        entry -> {
-                            entry.mPart.dropUntil(nowMillis - MAX_MILLIS);
-                            if (entry.mPart.isEmpty() && entry.mQuarantined) {
-                                addChange(QuarantineChange.Kind.FORGOTTEN, entry);
-                            }
-                            return entry.mPart.isEmpty();
-                        });
-    }
-
-    private void dropExcess() {
-        while (mSuspects.size() > MAX_SUSPECTS) {
-            mSuspects.values().stream()
-                    .min(
-                            Comparator.comparingInt((Entry each) -> each.mPart.crashes())
-                                    .thenComparingLong(each -> each.mPart.lastMillis()))
-                    .ifPresent(each -> mSuspects.remove(each.mPart.key()));
-        }
+        mSuspects.removeIf(
+                suspect -> {
+                    suspect.dropUntil(nowMillis - MAX_AGE_MILLIS);
+                    if (suspect.isEmpty() && suspect.isAnnounced()) {
+                        addChange(QuarantineChange.Kind.FORGOTTEN, suspect);
+                    }
+                    return suspect.isEmpty();
+                });
     }
 
     /**
@@ -260,43 +200,26 @@
      * @param knownVersion the version up to which it knows what is known here
      */
     public Optional<SuspectUpdate> updateFor(long knownVersion) {
-        // A version above the own one is of an earlier incarnation of this instance.
-        long known = knownVersion > mVersion ? 0 : knownVersion;
-        if (known == mVersion) {
-            return Optional.empty();
-        }
-        List<Entry> changed =
-                mSuspects.values().stream()
-                        .filter(entry -> entry.mVersion > known)
-                        .sorted(Comparator.comparingLong(entry -> entry.mVersion))
-                        .limit(MAX_REPORTS)
-                        .toList();
-        boolean all = changed.size() < MAX_REPORTS;
-        long version = all ? mVersion : changed.get(MAX_REPORTS - 1).mVersion;
-        return Optional.of(
-                new SuspectUpdate(
-                        version,
-                        changed.stream()
-                                .map(
-                                        entry ->
-                                                new SuspectReport(
-                                                        entry.mPart.key(), entry.mPart.sightings()))
-                                .toList()));
+        return mSuspects.updateFor(knownVersion);
     }
 
     /** Returns a number that grows with each change of what is known. */
     public long version() {
-        return mVersion;
+        return mSuspects.version();
     }
 
-    /** Returns the number of parts that are suspected at present. */
-    public long suspectedCount() {
-        return mSuspects.values().stream().filter(entry -> entry.mPart.crashes() > 0).count();
+    /** Returns the number of suspects of a kind at present. */
+    public long suspectedCount(SuspectKey.Kind kind) {
+        return mSuspects.all().stream()
+                .filter(each -> each.key().kind() == kind && each.crashes() > 0)
+                .count();
     }
 
-    /** Returns the number of parts that are quarantined at present. */
-    public long quarantinedCount(long nowMillis) {
-        return mSuspects.values().stream().filter(entry -> nowMillis < entry.endMillis()).count();
+    /** Returns the number of suspects of a kind that are quarantined at present. */
+    public long quarantinedCount(SuspectKey.Kind kind, long nowMillis) {
+        return mSuspects.all().stream()
+                .filter(each -> each.key().kind() == kind && each.isQuarantined(nowMillis))
+                .count();
     }
 
     /** Returns the changes since the last call, for the log. */
@@ -306,64 +229,29 @@
         return changes;
     }
 
-    private void addChange(QuarantineChange.Kind kind, Entry entry) {
+    private void addChange(QuarantineChange.Kind kind, Suspect suspect) {
         mChanges.add(
                 new QuarantineChange(
                         kind,
-                        entry.mPart.key(),
-                        entry.mPart.crashes(),
-                        entry.mPart.describeEvidence(),
-                        entry.endMillis()));
+                        suspect.key(),
+                        suspect.crashes(),
+                        suspect.describeEvidence(),
+                        suspect.endMillis()));
     }
 
-    private Set<PartKey> indistinguishable(Entry entry) {
-        Set<PartKey> keys = new HashSet<>();
-        for (Entry other : mSuspects.values()) {
-            if (other.mPart.key().service().equals(entry.mPart.key().service())
-                    && entry.mPart.isAlwaysWith(other.mPart)) {
-                keys.add(other.mPart.key());
-            }
-        }
-        return keys;
-    }
-
-    /** Returns the parts of a prompt without the last one, which no other request shares. */
-    private static Set<PartKey> keys(String service, Prompt prompt) {
-        Set<PartKey> keys = new LinkedHashSet<>();
-        for (PromptPart part : prompt.sharedParts()) {
-            keys.add(PartKey.of(service, part));
-        }
-        return keys;
+    private boolean appliesTo(Suspect suspect, Set<SuspectKey> keys) {
+        return suspect.key().kind() == SuspectKey.Kind.FINGERPRINT
+                || keys.containsAll(indistinguishable(suspect));
     }
 
-    private static final class Entry {
-        private final SuspectPart mPart;
-
-        /** The version at which the part changed last. */
-        private long mVersion;
-
-        private boolean mQuarantined;
-        private long mProbeEndMillis = NEVER;
-
-        private Entry(SuspectPart part) {
-            mPart = part;
-        }
-
-        private boolean isPoison() {
-            return mPart.crashes() >= MIN_CRASHES && mPart.requests().size() >= MIN_REQUESTS;
-        }
-
-        /** Returns when the quarantine ends; in the past if the part is not quarantined. */
-        private long endMillis() {
-            if (!isPoison()) {
-                return NEVER;
+    private Set<SuspectKey> indistinguishable(Suspect suspect) {
+        Set<SuspectKey> keys = new HashSet<>();
+        for (Suspect other : mSuspects.all()) {
+            if (other.key().service().equals(suspect.key().service())
+                    && suspect.isAlwaysWith(other)) {
+                keys.add(other.key());
             }
-            int doublings = Math.min(10, mPart.crashes() - MIN_CRASHES);
-            return mPart.lastMillis() + Math.min(MAX_MILLIS, BASE_MILLIS << doublings);
-        }
-
-        private Quarantine quarantine(long endMillis) {
-            return new Quarantine(mPart.key(), mPart.crashes(), endMillis);
         }
+        return keys;
     }
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Sighting.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Sighting.java
@@ -6,14 +6,15 @@
 import org.magnoliapick.lib.UpstreamId;
 
 /**
- * The crash of an upstream while requests with a prompt part had received nothing of their answers.
+ * The crash of an upstream while requests that have something in common had received nothing of
+ * their answers.
  *
  * @param upstream the upstream
  * @param startedMillis when that incarnation of the upstream started
- * @param requests the requests; only some of them if there were many
+ * @param requests the fingerprints of the requests; only some of them if there were many
  * @param atMillis when the crash was noticed
- * @param refuted whether a request with the part was answered afterwards, so that the part did not
- *     cause the crash
+ * @param refuted whether a request of the same kind was answered afterwards or shortly before, so
+ *     that what they have in common did not cause the crash
  */
 public record Sighting(
         UpstreamId upstream,
@@ -41,6 +42,11 @@
         return !Collections.disjoint(requests, other.requests);
     }
 
+    /** Returns whether there may be more requests than those that are kept. */
+    boolean isFull() {
+        return requests.size() == MAX_REQUESTS;
+    }
+
     /**
      * Combines two reports of the same crash. The earlier time is kept, since a report that was
      * delayed on its way seems more recent than it is.
--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectPart.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Suspect.java
@@ -8,8 +8,26 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
-/** A prompt part with the crashes at which its requests were unanswered. */
-final class SuspectPart {
+/** A prompt part or fingerprint with the crashes at which requests that have it were unanswered. */
+final class Suspect {
+    /** The number of crashes without an answer after which requests are refused. */
+    private static final int MIN_CRASHES = 3;
+
+    /** The duration of a quarantine, which doubles with each further crash, in milliseconds. */
+    private static final long BASE_MILLIS = 60_000;
+
+    /** The maximum duration of a quarantine, in milliseconds. */
+    private static final long MAX_MILLIS = 600_000;
+
+    /** The time from a probe until the next one, in milliseconds. */
+    private static final long PROBE_MILLIS = 10_000;
+
+    /**
+     * The time of an event that has not happened. It is half the minimum, so that the time since it
+     * does not overflow.
+     */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     /** The maximum number of crashes that are kept; the earliest are dropped. */
     private static final int MAX_SIGHTINGS = 8;
 
@@ -19,14 +37,16 @@
      */
     private static final long COINCIDENCE_MILLIS = 250;
 
-    private final PartKey mKey;
+    private final SuspectKey mKey;
     private final List<Sighting> mSightings = new ArrayList<>();
+    private boolean mQuarantined;
+    private long mProbeEndMillis = NEVER;
 
-    SuspectPart(PartKey key) {
+    Suspect(SuspectKey key) {
         mKey = key;
     }
 
-    PartKey key() {
+    SuspectKey key() {
         return mKey;
     }
 
@@ -58,6 +78,7 @@
     boolean refute() {
         boolean changed = mSightings.stream().anyMatch(each -> !each.refuted());
         mSightings.replaceAll(Sighting::asRefuted);
+        mQuarantined &= !changed;
         return changed;
     }
 
@@ -97,22 +118,76 @@
 
     /** Returns when the last crash that is not refuted was noticed. */
     long lastMillis() {
-        return unrefuted().stream().mapToLong(Sighting::atMillis).max().orElse(Long.MIN_VALUE / 2);
+        return unrefuted().stream().mapToLong(Sighting::atMillis).max().orElse(NEVER);
+    }
+
+    /** Returns when the last crash was noticed, whether it is refuted or not. */
+    long lastSightingMillis() {
+        return mSightings.stream().mapToLong(Sighting::atMillis).max().orElse(NEVER);
+    }
+
+    /** Returns whether the crashes are enough for a quarantine, which may have ended since. */
+    boolean isPoison() {
+        return crashes() >= MIN_CRASHES && requests().size() >= mKey.kind().minRequests();
+    }
+
+    /** Returns when the quarantine ends; in the past if there is none. */
+    long endMillis() {
+        if (!isPoison()) {
+            return NEVER;
+        }
+        int doublings = Math.min(10, crashes() - MIN_CRASHES);
+        return lastMillis() + Math.min(MAX_MILLIS, BASE_MILLIS << doublings);
+    }
+
+    boolean isQuarantined(long nowMillis) {
+        return nowMillis < endMillis();
+    }
+
+    Quarantine quarantine() {
+        return new Quarantine(mKey, crashes(), endMillis());
+    }
+
+    /** Returns whether the quarantine was announced as a change. */
+    boolean isAnnounced() {
+        return mQuarantined;
+    }
+
+    void announced() {
+        mQuarantined = true;
+    }
+
+    /** Returns the quarantine until the next probe; empty if one may be sent now. */
+    Optional<Quarantine> untilProbe(long nowMillis) {
+        return nowMillis < mProbeEndMillis
+                ? Optional.of(new Quarantine(mKey, crashes(), mProbeEndMillis))
+                : Optional.empty();
+    }
+
+    void probed(long nowMillis) {
+        mProbeEndMillis = nowMillis + PROBE_MILLIS;
     }
 
     /**
-     * Returns whether at each crash a request had both this part and the other one, so that either
-     * may be the cause, or both together.
+     * Returns whether at each crash a request may have had both this and the other one, so that
+     * either may be the cause, or both together.
      */
-    boolean isAlwaysWith(SuspectPart other) {
+    boolean isAlwaysWith(Suspect other) {
         return unrefuted().stream()
                 .allMatch(
                         each ->
                                 other.find(each)
-                                        .filter(same -> !same.refuted() && same.sharesRequest(each))
+                                        .filter(same -> !same.refuted())
+                                        .filter(same -> mayBeTogether(each, other, same))
                                         .isPresent());
     }
 
+    /** A request that repeats may be among those of a full sighting that are not kept. */
+    private static boolean mayBeTogether(Sighting crash, Suspect other, Sighting same) {
+        return crash.sharesRequest(same)
+                || (crash.isFull() && other.mKey.kind() == SuspectKey.Kind.FINGERPRINT);
+    }
+
     private Optional<Sighting> find(Sighting crash) {
         return mSightings.stream().filter(crash::sameCrash).findFirst();
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectReport.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectReport.java
@@ -3,12 +3,12 @@
 import java.util.List;
 
 /**
- * What an instance tells another one of a suspected prompt part.
+ * What an instance tells another one of a suspected prompt part or fingerprint.
  *
- * @param part the part
+ * @param key the part or the fingerprint
  * @param sightings the crashes, with times of the sender's clock
  */
-public record SuspectReport(PartKey part, List<Sighting> sightings) {
+public record SuspectReport(SuspectKey key, List<Sighting> sightings) {
     /** Copies the list. */
     public SuspectReport {
         sightings = List.copyOf(sightings);
--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/package-info.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Quarantine of poison requests: prompt parts whose requests crash the upstreams that answer them.
+ * Quarantine of poison requests, which crash the upstreams that run them: repetitions of a request,
+ * or requests with a prompt part in common.
  */
 package org.magnoliapick.quarantine;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayRequest.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/RelayRequest.java
@@ -34,6 +34,11 @@
         long deadlineMillis,
         long configVersion) {
 
+    /** Returns what the request asks for. */
+    public RequestContent content() {
+        return new RequestContent(service, prompt, fingerprint);
+    }
+
     /** Returns the earlier of the route's timeout and the caller's deadline. */
     public long effectiveDeadlineMillis() {
         return Math.min(deadlineMillis, arrivedMillis + route.timeoutMillis());
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
@@ -66,7 +66,7 @@
         mInstances.forEach(Instance::exchange);
     }
 
-    /** Makes engines crash that begin to answer a request with a part. */
+    /** Makes engines crash that begin to answer a request with a part, also one of its own. */
     void poison(String part) {
         mPoison.add(part);
     }
@@ -100,7 +100,17 @@
 
     /** Sends a request whose prompt has these parts and one of its own to an instance. */
     Request send(int instance, String... parts) {
-        Request request = new Request(mInstances.get(instance), ++mLastNumber, List.of(parts));
+        long number = ++mLastNumber;
+        return send(instance, number, number, parts);
+    }
+
+    /** Sends a request that repeats the content of all others with the same number. */
+    Request sendRepetition(int instance, long content, String... parts) {
+        return send(instance, ++mLastNumber, content, parts);
+    }
+
+    private Request send(int instance, long number, long content, String... parts) {
+        Request request = new Request(mInstances.get(instance), number, content, List.of(parts));
         request.submit();
         return request;
     }
@@ -137,9 +147,9 @@
         return List.copyOf(mEngines.values()).get(number);
     }
 
-    /** Returns the number of parts that an instance has in quarantine. */
+    /** Returns the number of parts or fingerprints that an instance has in quarantine. */
     long quarantinedCount(int instance) {
-        return mInstances.get(instance).mKnowledge.quarantine().quarantinedCount(mTime.nowMillis());
+        return mInstances.get(instance).mKnowledge.quarantinedCount(mTime.nowMillis());
     }
 
     /** Lets requests with a part pass again without harm. */
@@ -318,9 +328,9 @@
         private boolean mAnswered;
         private Optional<PoolCause> mRefusal = Optional.empty();
 
-        private Request(Instance instance, long number, List<String> parts) {
+        private Request(Instance instance, long number, long content, List<String> parts) {
             mInstance = instance;
-            mRequest = Jobs.request(number, parts, mTime.nowMillis());
+            mRequest = Jobs.request(number, content, parts, mTime.nowMillis());
             mAttempts = new RelayAttempts(mRequest);
         }
 
@@ -351,10 +361,7 @@
 
         private boolean isQuarantined() {
             Optional<Quarantine> quarantine =
-                    mInstance
-                            .mKnowledge
-                            .quarantine()
-                            .find("s", mRequest.prompt(), mTime.nowMillis());
+                    mInstance.mKnowledge.quarantine().find(mRequest.content(), mTime.nowMillis());
             quarantine.ifPresent(each -> mRefusal = Optional.of(PoolCause.QUARANTINED));
             return quarantine.isPresent();
         }
@@ -432,10 +439,7 @@
                                     mTime.nowMillis()),
                             mRequest.id(),
                             mSentMillis.get(mSentMillis.size() - 1));
-            mInstance
-                    .mKnowledge
-                    .quarantine()
-                    .recordAnswer("s", mRequest.prompt(), mTime.nowMillis());
+            mInstance.mKnowledge.quarantine().recordAnswer(mRequest.content(), mTime.nowMillis());
             mAttempts.headRelayed();
             mInstance.mPool.scheduler().recordEvent(mTicket, mTime.nowMillis());
             mTime.after(ANSWER_MILLIS, () -> completeAnswer(engine));
@@ -474,10 +478,7 @@
         }
 
         private boolean mayRetry() {
-            return mInstance
-                    .mKnowledge
-                    .quarantine()
-                    .mayRetry("s", mRequest.prompt(), mRequest.id());
+            return mInstance.mKnowledge.quarantine().mayRetry(mRequest.content());
         }
 
         private void recordCrash(ListedUpstream upstream, long crashedMillis) {
@@ -488,9 +489,7 @@
                                     .mKnowledge
                                     .quarantine()
                                     .recordCrash(
-                                            "s",
-                                            mRequest.prompt(),
-                                            mRequest.id(),
+                                            mRequest.content(),
                                             upstream.id(),
                                             upstream.startedMillis(),
                                             crashedMillis));
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
@@ -2,8 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.quarantine.PromptQuarantine;
+import org.magnoliapick.quarantine.SuspectKey;
 
 /** What an instance of a fleet in virtual time learns from others, and up to which version. */
 final class FakeKnowledge {
@@ -20,6 +22,13 @@
         return mRateLimits;
     }
 
+    /** Returns the number of parts and fingerprints that are quarantined. */
+    long quarantinedCount(long nowMillis) {
+        return Stream.of(SuspectKey.Kind.values())
+                .mapToLong(kind -> mQuarantine.quarantinedCount(kind, nowMillis))
+                .sum();
+    }
+
     /** Sends what another instance lacks. */
     void sendTo(FakeKnowledge to, String name) {
         mQuarantine
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
@@ -72,6 +72,7 @@
                 new WorkspaceId(workspace),
                 DOMAIN,
                 new Prompt(tokens, 100, parts),
+                new Fingerprint(queryId),
                 400,
                 nowMillis + 400,
                 false,
@@ -86,16 +87,21 @@
 
     /** Returns a resumable request whose prompt has these parts and one of its own. */
     static RelayRequest request(long number, List<String> parts, long nowMillis) {
+        return request(number, number, parts, nowMillis);
+    }
+
+    /** Returns the same for a request that may repeat the content of another one. */
+    static RelayRequest request(long number, long content, List<String> parts, long nowMillis) {
         List<PromptPart> prompt = new ArrayList<>();
         parts.forEach(each -> prompt.add(new PromptPart(each, 100)));
-        prompt.add(new PromptPart("own-" + number, 100));
+        prompt.add(new PromptPart("own-" + content, 100));
         return new RelayRequest(
                 "request-" + number,
                 Requests.route(RouteKind.STREAM, true),
                 "s",
                 Optional.of(new WorkspaceId("w")),
                 new Prompt(100 * prompt.size(), 100, prompt),
-                new Fingerprint(number),
+                new Fingerprint(content),
                 OptionalLong.empty(),
                 nowMillis,
                 nowMillis,
@@ -120,6 +126,7 @@
                 job.account(),
                 job.domain(),
                 job.prompt(),
+                job.fingerprint(),
                 job.objectiveMillis(),
                 job.dueMillis(),
                 callerRetry,
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoisonRequestTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoisonRequestTest.java
@@ -14,6 +14,9 @@
     /** The crash after which the fleet has to know the poison part. */
     private static final int BOUND_CRASHES = 5;
 
+    /** The same for repetitions of one request. */
+    private static final int BOUND_CRASHES_OF_REPETITIONS = 3;
+
     /** How long the knowledge may take to reach all instances, in milliseconds. */
     private static final long CONTACT_MILLIS = 3_000;
 
@@ -130,7 +133,7 @@
             fleet.at(
                     millis,
                     () -> {
-                        int instance = fleet.random().nextInt(8);
+                        int instance = fleet.random().nextInt(fleet.instanceCount());
                         if (poison.length > 0 && fleet.random().nextInt(20) == 0) {
                             String part = poison[fleet.random().nextInt(poison.length)];
                             mPoisoned.add(fleet.send(instance, "first", part));
@@ -148,11 +151,41 @@
         return (double) later.stream().filter(FakeFleet.Request::isAnswered).count() / later.size();
     }
 
+    /** A caller whose request crashed its engine sends it again, to any instance. */
+    @ParameterizedTest
+    @ValueSource(ints = {4, 8, 100, 300})
+    void stopsSendingRepetitionsOfARequestThatCrashesItsEngines(int instances) {
+        FakeFleet fleet = new FakeFleet(instances, 100, 8, instances);
+        fleet.poison("own-1");
+        sendMixedLoad(fleet, 30_000);
+        for (long millis = 2_000; millis < 25_000; millis += 400) {
+            fleet.at(
+                    millis,
+                    () ->
+                            mPoisoned.add(
+                                    fleet.sendRepetition(
+                                            fleet.random().nextInt(instances),
+                                            1,
+                                            "first",
+                                            "part-1")));
+        }
+        fleet.runUntil(35_000);
+        assertThat(sentAfterBound(fleet, "own-1", BOUND_CRASHES_OF_REPETITIONS))
+                .isLessThanOrEqualTo(MAX_SENT_AFTER_BOUND);
+        assertThat(answeredShareFrom(10_000)).isGreaterThan(0.9);
+        assertThat(mSound)
+                .noneMatch(each -> each.refusal().equals(Optional.of(PoolCause.QUARANTINED)));
+    }
+
     private long sentAfterBound(FakeFleet fleet, String part) {
-        if (fleet.crashMillis(part).size() < BOUND_CRASHES) {
+        return sentAfterBound(fleet, part, BOUND_CRASHES);
+    }
+
+    private long sentAfterBound(FakeFleet fleet, String part, int boundCrashes) {
+        if (fleet.crashMillis(part).size() < boundCrashes) {
             return 0;
         }
-        long boundMillis = fleet.crashMillis(part).get(BOUND_CRASHES - 1) + CONTACT_MILLIS;
+        long boundMillis = fleet.crashMillis(part).get(boundCrashes - 1) + CONTACT_MILLIS;
         return mPoisoned.stream()
                 .filter(each -> each.hasPart(part))
                 .flatMap(each -> each.sentMillis().stream())
--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -8,8 +8,10 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.quarantine.QuarantineChange.Kind;
+import org.magnoliapick.relay.Fingerprint;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
+import org.magnoliapick.relay.RequestContent;
 
 final class PromptQuarantineTest {
     private static final long MINUTE_MILLIS = 60_000;
@@ -26,6 +28,15 @@
         return new Prompt(1_000, 10, list);
     }
 
+    /** Returns the content of a request by its name; repetitions have the same one. */
+    private static RequestContent content(String request, String... parts) {
+        return new RequestContent("s", prompt(parts), new Fingerprint(request.hashCode()));
+    }
+
+    private static RequestContent other(String... parts) {
+        return content("other", parts);
+    }
+
     /** Records that a request made another upstream crash. */
     private static void crash(
             PromptQuarantine quarantine,
@@ -33,8 +44,7 @@
             String request,
             long millis,
             String... parts) {
-        quarantine.recordCrash(
-                "s", prompt(parts), request, new UpstreamId("u" + upstream), 1, millis);
+        quarantine.recordCrash(content(request, parts), new UpstreamId("u" + upstream), 1, millis);
     }
 
     private void crash(String request, long millis, String... parts) {
@@ -42,7 +52,7 @@
     }
 
     private boolean isRefused(long millis, String... parts) {
-        return mQuarantine.find("s", prompt(parts), millis).isPresent();
+        return mQuarantine.find(other(parts), millis).isPresent();
     }
 
     @Test
@@ -51,11 +61,19 @@
         crash("2", 2_000, "bad");
         assertThat(isRefused(2_500, "bad")).isFalse();
         crash("3", 3_000, "bad");
-        Quarantine quarantine = mQuarantine.find("s", prompt("x", "bad"), 3_000).orElseThrow();
+        Quarantine quarantine = mQuarantine.find(other("x", "bad"), 3_000).orElseThrow();
         assertThat(quarantine)
-                .isEqualTo(new Quarantine(new PartKey("s", "bad"), 3, 3_000 + MINUTE_MILLIS));
+                .isEqualTo(
+                        new Quarantine(
+                                new SuspectKey("s", SuspectKey.Kind.PART, "bad"),
+                                3,
+                                3_000 + MINUTE_MILLIS));
         assertThat(isRefused(3_000, "good")).isFalse();
-        assertThat(mQuarantine.find("other", prompt("bad"), 3_000)).isEmpty();
+        assertThat(
+                        mQuarantine.find(
+                                new RequestContent("other", prompt("bad"), Fingerprint.UNKNOWN),
+                                3_000))
+                .isEmpty();
     }
 
     @Test
@@ -87,19 +105,20 @@
     void doesNotSuspectThePartOfItsOwnAtTheEnd() {
         for (int i = 0; i < 5; i++) {
             mQuarantine.recordCrash(
-                    "s", prompt(), "request-" + i, new UpstreamId("u" + i), 1, 1_000L * i);
+                    content("request-" + i), new UpstreamId("u" + i), 1, 1_000L * i);
         }
-        assertThat(mQuarantine.suspectedCount()).isZero();
+        assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.PART)).isZero();
     }
 
     @Test
     void anAnswerRefutesEarlierCrashes() {
         crash("1", 1_000, "part");
         crash("2", 2_000, "part");
-        mQuarantine.recordAnswer("s", prompt("part"), 2_500);
+        mQuarantine.recordAnswer(other("part"), 2_500);
         crash("3", 9_000, "part");
         assertThat(isRefused(9_000, "part")).isFalse();
         assertThat(mQuarantine.takeChanges())
+                .filteredOn(each -> each.key().kind() == SuspectKey.Kind.PART)
                 .extracting(QuarantineChange::kind)
                 .containsExactly(Kind.SUSPECTED, Kind.SUSPECTED, Kind.REFUTED, Kind.SUSPECTED);
     }
@@ -107,7 +126,7 @@
     @Test
     void anAnswerEndsAQuarantine() {
         threeCrashes("part");
-        mQuarantine.recordAnswer("s", prompt("part"), 3_100);
+        mQuarantine.recordAnswer(other("part"), 3_100);
         assertThat(isRefused(3_100, "part")).isFalse();
     }
 
@@ -119,14 +138,14 @@
 
     @Test
     void anAnswerShortlyBeforeACrashSpeaksForThePart() {
-        mQuarantine.recordAnswer("s", prompt("part"), 900);
+        mQuarantine.recordAnswer(other("part"), 900);
         crash("1", 1_000, "part");
-        assertThat(mQuarantine.suspectedCount()).isZero();
+        assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.PART)).isZero();
     }
 
     @Test
     void quarantinesAPartThatWasAnsweredLongBefore() {
-        mQuarantine.recordAnswer("s", prompt("part"), 0);
+        mQuarantine.recordAnswer(other("part"), 0);
         crash("1", 4_000, "part");
         crash("2", 5_000, "part");
         crash("3", 6_000, "part");
@@ -139,7 +158,7 @@
         threeCrashes("sound", "bad");
         assertThat(isRefused(4_000, "sound", "bad")).isTrue();
         assertThat(isRefused(4_000, "sound")).isFalse();
-        mQuarantine.recordAnswer("s", prompt("sound"), 4_100);
+        mQuarantine.recordAnswer(other("sound"), 4_100);
         assertThat(isRefused(4_200, "bad")).isTrue();
         assertThat(isRefused(4_200, "other", "bad")).isTrue();
     }
@@ -154,22 +173,111 @@
 
     @Test
     void doesNotRetryARequestThatRepeatsAnotherOnesCrash() {
-        assertThat(mQuarantine.mayRetry("s", prompt("bad"), "1")).isTrue();
+        assertThat(mQuarantine.mayRetry(content("1", "first", "bad"))).isTrue();
         crash("1", 1_000, "first", "bad");
-        assertThat(mQuarantine.mayRetry("s", prompt("first", "bad"), "1")).isTrue();
-        assertThat(mQuarantine.mayRetry("s", prompt("first", "bad"), "2")).isFalse();
-        mQuarantine.recordAnswer("s", prompt("first"), 1_100);
-        assertThat(mQuarantine.mayRetry("s", prompt("first"), "3")).isTrue();
+        assertThat(mQuarantine.mayRetry(content("2", "first", "bad"))).isFalse();
+        mQuarantine.recordAnswer(other("first"), 1_100);
+        assertThat(mQuarantine.mayRetry(content("3", "first"))).isTrue();
+    }
+
+    @Test
+    void doesNotRetryARepetitionOfARequestThatCrashedAnUpstream() {
+        crash("1", 1_000);
+        assertThat(mQuarantine.mayRetry(content("1"))).isFalse();
+        assertThat(mQuarantine.mayRetry(content("2"))).isTrue();
+    }
+
+    @Test
+    void quarantinesARequestWhoseRepetitionsCrashUpstreams() {
+        for (int i = 1; i <= 3; i++) {
+            assertThat(mQuarantine.find(content("same"), 1_000 * i)).isEmpty();
+            crash("same", 1_000 * i);
+        }
+        assertThat(mQuarantine.find(content("same"), 3_000).map(Quarantine::endMillis))
+                .contains(3_000 + MINUTE_MILLIS);
+        assertThat(isRefused(3_000)).isFalse();
+    }
+
+    /** Sound requests share these parts, or will. */
+    @Test
+    void servesThePartsOfARequestWhoseRepetitionsCrashUpstreams() {
+        for (int i = 1; i <= 5; i++) {
+            crash("same", 1_000 * i, "first", "second");
+        }
+        assertThat(mQuarantine.find(content("same", "first", "second"), 5_000)).isPresent();
+        assertThat(isRefused(5_000, "first", "second")).isFalse();
+        assertThat(isRefused(5_000, "first")).isFalse();
+    }
+
+    /** Only some of the requests of a crash are kept. */
+    @Test
+    void servesASoundPartOfManyRequestsThatARepeatedOneTookAlong() {
+        for (int i = 1; i <= 3; i++) {
+            ++mLastUpstream;
+            for (int j = 0; j < 20; j++) {
+                crash(mQuarantine, mLastUpstream, "victim-" + i + "-" + j, 1_000 * i, "part");
+            }
+            crash(mQuarantine, mLastUpstream, "same", 1_000 * i, "part");
+        }
+        assertThat(mQuarantine.find(content("same", "part"), 3_000)).isPresent();
+        assertThat(isRefused(3_000, "part")).isFalse();
+    }
+
+    @Test
+    void findsAPoisonPartBesideARepeatedRequestThatHasIt() {
+        crash("same", 1_000, "bad");
+        crash("same", 2_000, "bad");
+        crash("3", 3_000, "bad");
+        assertThat(isRefused(3_000, "bad")).isTrue();
+    }
+
+    @Test
+    void anAnswerToARepetitionRefutesEarlierCrashes() {
+        crash("same", 1_000);
+        crash("same", 2_000);
+        mQuarantine.recordAnswer(content("same"), 2_500);
+        crash("same", 9_000);
+        assertThat(mQuarantine.find(content("same"), 9_000)).isEmpty();
+    }
+
+    @Test
+    void sendsSingleProbesOfARepeatedRequestAfterTheEnd() {
+        for (int i = 1; i <= 3; i++) {
+            crash("same", 1_000 * i);
+        }
+        assertThat(mQuarantine.admit(content("same"), 62_000)).isPresent();
+        assertThat(mQuarantine.admit(content("same"), 63_000)).isEmpty();
+        assertThat(mQuarantine.admit(content("same"), 63_001)).isPresent();
+        assertThat(mQuarantine.admit(content("other"), 63_001)).isEmpty();
+    }
+
+    /** An upstream that crashes may take hundreds of requests with it. */
+    @Test
+    void manyLostRequestsDoNotCrowdOutPartsNorTheRepeatedOne() {
+        crash("1", 1_000, "bad");
+        crash("same", 1_000);
+        for (int i = 0; i < 1_000; i++) {
+            crash("lost-" + i, 1_100);
+        }
+        crash("2", 2_000, "bad");
+        crash("same", 2_000);
+        for (int i = 1_000; i < 2_000; i++) {
+            crash("lost-" + i, 2_100);
+        }
+        crash("3", 3_000, "bad");
+        crash("same", 3_000);
+        assertThat(isRefused(3_000, "bad")).isTrue();
+        assertThat(mQuarantine.find(content("same"), 3_000)).isPresent();
     }
 
     @Test
     void sendsSingleProbesAfterTheEnd() {
         threeCrashes("bad");
-        assertThat(mQuarantine.admit("s", prompt("bad"), 62_000)).isPresent();
-        assertThat(mQuarantine.admit("s", prompt("bad"), 63_000)).isEmpty();
-        assertThat(mQuarantine.admit("s", prompt("bad"), 63_001).map(Quarantine::endMillis))
+        assertThat(mQuarantine.admit(other("bad"), 62_000)).isPresent();
+        assertThat(mQuarantine.admit(other("bad"), 63_000)).isEmpty();
+        assertThat(mQuarantine.admit(other("bad"), 63_001).map(Quarantine::endMillis))
                 .contains(73_000L);
-        assertThat(mQuarantine.admit("s", prompt("bad"), 73_000)).isEmpty();
+        assertThat(mQuarantine.admit(other("bad"), 73_000)).isEmpty();
     }
 
     @Test
@@ -184,19 +292,19 @@
     void forgetsOldCrashes() {
         threeCrashes("bad");
         mQuarantine.tick(3_000 + 10 * MINUTE_MILLIS);
-        assertThat(mQuarantine.suspectedCount()).isZero();
-        assertThat(mQuarantine.admit("s", prompt("bad"), 700_000)).isEmpty();
-        assertThat(mQuarantine.admit("s", prompt("bad"), 700_000)).isEmpty();
+        assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.PART)).isZero();
+        assertThat(mQuarantine.admit(other("bad"), 700_000)).isEmpty();
+        assertThat(mQuarantine.admit(other("bad"), 700_000)).isEmpty();
     }
 
     @Test
     void keepsThePartsWithMostCrashesWhenThereAreTooMany() {
         crash("1", 1_000, "bad");
         crash("2", 2_000, "bad");
-        for (int i = 0; i < 1_000; i++) {
+        for (int i = 0; i < 2_000; i++) {
             crash("sound-" + i, 2_100, "part-" + i);
         }
-        assertThat(mQuarantine.suspectedCount()).isEqualTo(64);
+        assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.PART)).isEqualTo(1_024);
         crash("3", 3_000, "bad");
         assertThat(isRefused(3_000, "bad")).isTrue();
     }
@@ -211,8 +319,8 @@
         assertThat(isRefused(3_000, "bad")).isTrue();
         assertThat(other.updateFor(version)).isEmpty();
         send(mQuarantine, other, 0);
-        assertThat(other.find("s", prompt("bad"), 3_000)).isPresent();
-        other.recordAnswer("s", prompt("bad"), 3_500);
+        assertThat(other.find(other("bad"), 3_000)).isPresent();
+        other.recordAnswer(other("bad"), 3_500);
         send(other, mQuarantine, version);
         assertThat(isRefused(3_500, "bad")).isFalse();
     }
@@ -222,17 +330,17 @@
     void refutesAReportedCrashThatAnAnswerFollowed() {
         PromptQuarantine other = new PromptQuarantine();
         crash(other, 101, "1", 1_000, "part");
-        mQuarantine.recordAnswer("s", prompt("part"), 1_500);
+        mQuarantine.recordAnswer(other("part"), 1_500);
         send(other, mQuarantine, 0);
-        assertThat(mQuarantine.suspectedCount()).isZero();
+        assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.PART)).isZero();
         send(mQuarantine, other, 0);
-        assertThat(other.suspectedCount()).isZero();
+        assertThat(other.suspectedCount(SuspectKey.Kind.PART)).isZero();
     }
 
     @Test
     void sendsManyPartsInSeveralUpdates() {
         for (int i = 0; i < 40; i++) {
-            crash("request-" + i, 1_000, "part-" + i);
+            crash("request", 1_000, "part-" + i);
         }
         PromptQuarantine other = new PromptQuarantine();
         long version = 0;
@@ -244,7 +352,7 @@
             updates++;
             update = mQuarantine.updateFor(version);
         }
-        assertThat(other.suspectedCount()).isEqualTo(40);
+        assertThat(other.suspectedCount(SuspectKey.Kind.PART)).isEqualTo(40);
         assertThat(updates).isEqualTo(3);
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -26,6 +26,7 @@
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.UpstreamDirectory;
 import org.magnoliapick.quarantine.PromptQuarantine;
+import org.magnoliapick.quarantine.SuspectKey;
 import org.magnoliapick.relay.FleetRetryBudget;
 import org.magnoliapick.relay.StopPlan;
 import org.magnoliapick.route.TrafficConfig;
@@ -204,12 +205,14 @@
         StringBuilder text = new StringBuilder();
         mContext.counters().write(text);
         PromptQuarantine quarantine = mContext.quarantine();
-        RelayCounters.appendMetric(
-                text, "magnoliapick_prompt_parts_suspected", quarantine.suspectedCount());
-        RelayCounters.appendMetric(
-                text,
-                "magnoliapick_prompt_parts_quarantined",
-                quarantine.quarantinedCount(mClockMillis.getAsLong()));
+        for (SuspectKey.Kind kind : SuspectKey.Kind.values()) {
+            String name = "magnoliapick_" + kind.metricName();
+            RelayCounters.appendMetric(text, name + "_suspected", quarantine.suspectedCount(kind));
+            RelayCounters.appendMetric(
+                    text,
+                    name + "_quarantined",
+                    quarantine.quarantinedCount(kind, mClockMillis.getAsLong()));
+        }
         RelayCounters.appendMetric(
                 text, "magnoliapick_upstreams_rate_limited", mContext.rateLimits().limitedCount());
         return new ControlServer.Page(true, text.toString());
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -58,7 +58,7 @@
     /**
      * Creates an empty set; pools are added when a service is first used.
      *
-     * @param quarantine the prompt parts with which requests are refused
+     * @param quarantine the poison requests, which are refused
      * @param rateLimits the rate limits that upstreams named
      * @param sink executes the pools' decisions on requests of this instance
      */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/QuarantineMonitor.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/QuarantineMonitor.java
@@ -1,10 +1,15 @@
 package org.magnoliapick.gateway.internal.relay;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.quarantine.QuarantineChange;
 import org.magnoliapick.relay.RelayRequest;
+import org.magnoliapick.relay.RequestContent;
 
 /** Tells the quarantine which requests were lost in crashes, and logs its changes. */
 final class QuarantineMonitor {
@@ -17,6 +22,9 @@
     private final RelayContext mContext;
     private final Pools mPools;
 
+    /** The requests that were lost at upstreams whose check is due, which is one for all. */
+    private final Map<ListedUpstream, List<Lost>> mLost = new HashMap<>();
+
     QuarantineMonitor(RelayContext context, Pools pools) {
         mContext = context;
         mPools = pools;
@@ -24,30 +32,32 @@
 
     /** Records that the connection of a request was lost before anything of its answer arrived. */
     void lostUnanswered(RelayRequest request, ListedUpstream upstream) {
-        if (request.prompt().sharedParts().isEmpty()) {
+        Lost lost = new Lost(request.content(), mContext.nowMillis());
+        List<Lost> waiting = mLost.get(upstream);
+        if (waiting != null) {
+            waiting.add(lost);
             return;
         }
-        long lostMillis = mContext.nowMillis();
+        mLost.put(upstream, new ArrayList<>(List.of(lost)));
         mContext.loop()
                 .schedule(
-                        () -> checkCrash(request, upstream, lostMillis),
+                        () -> checkCrash(upstream),
                         CRASH_CHECK_DELAY_MILLIS,
                         TimeUnit.MILLISECONDS);
     }
 
-    private void checkCrash(RelayRequest request, ListedUpstream upstream, long lostMillis) {
+    private void checkCrash(ListedUpstream upstream) {
+        List<Lost> lost = mLost.remove(upstream);
         mPools.checkCrash(
                 upstream,
                 mContext::nowMillis,
-                () ->
-                        mContext.quarantine()
-                                .recordCrash(
-                                        request.service(),
-                                        request.prompt(),
-                                        request.id(),
-                                        upstream.id(),
-                                        upstream.startedMillis(),
-                                        lostMillis));
+                () -> lost.forEach(each -> recordCrash(each, upstream)));
+    }
+
+    private void recordCrash(Lost lost, ListedUpstream upstream) {
+        mContext.quarantine()
+                .recordCrash(
+                        lost.content(), upstream.id(), upstream.startedMillis(), lost.atMillis());
     }
 
     /** Forgets old crashes and logs all changes; returns whether a quarantine has begun. */
@@ -65,11 +75,13 @@
     private void log(QuarantineChange change, long nowMillis) {
         mContext.log()
                 .line(change.logName())
-                .with("service", change.part().service())
-                .with("part", change.part().part())
+                .with("service", change.key().service())
+                .with(change.key().kind().fieldName(), change.key().id())
                 .with("crashes", change.crashes())
                 .with("evidence", change.evidence())
                 .with("forMillis", Math.max(0, change.endMillis() - nowMillis))
                 .log();
     }
+
+    private record Lost(RequestContent content, long atMillis) {}
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -118,7 +118,7 @@
     }
 
     private Optional<Quarantine> findQuarantine(long nowMillis) {
-        return mContext.quarantine().find(mRequest.service(), mRequest.prompt(), nowMillis);
+        return mContext.quarantine().find(mRequest.content(), nowMillis);
     }
 
     private void refuse(Quarantine quarantine, long nowMillis) {
@@ -127,7 +127,7 @@
         logLine("request.refused")
                 .with("cause", PoolCause.QUARANTINED.logName())
                 .with("error", kind.wireName())
-                .with("part", quarantine.part().part())
+                .with(quarantine.key().kind().fieldName(), quarantine.key().id())
                 .with("crashes", quarantine.crashes())
                 .with("attempts", mAttempts.sends())
                 .with("retryAfterMillis", retryAfterMillis)
@@ -191,7 +191,8 @@
         ErrorKind kind = mAttempts.reportableKind(refuse.cause().errorKind());
         EventLog.Line line = logLine("request.refused");
         if (refuse.cause() == PoolCause.QUARANTINED) {
-            line.with("parts", mRequest.prompt().describeParts());
+            line.with("parts", mRequest.prompt().describeParts())
+                    .with("fingerprint", mRequest.fingerprint());
         }
         line.with("cause", refuse.cause().logName())
                 .with("error", kind.wireName())
@@ -315,8 +316,7 @@
     }
 
     private void recordAnswer() {
-        mContext.quarantine()
-                .recordAnswer(mRequest.service(), mRequest.prompt(), mContext.nowMillis());
+        mContext.quarantine().recordAnswer(mRequest.content(), mContext.nowMillis());
     }
 
     /** Ends the request after the complete response was relayed. */
@@ -356,10 +356,10 @@
         releaseTicket(Optional.of(end));
         if (end.isConnectionLost() && !mEventReceived) {
             mRelays.quarantineMonitor().lostUnanswered(mRequest, upstream);
-            if (!mContext.quarantine()
-                    .mayRetry(mRequest.service(), mRequest.prompt(), mRequest.id())) {
+            if (!mContext.quarantine().mayRetry(mRequest.content())) {
                 logLine("request.retry-withheld")
                         .with("parts", mRequest.prompt().describeParts())
+                        .with("fingerprint", mRequest.fingerprint())
                         .log();
                 return mAttempts.lastStep(end);
             }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
@@ -55,7 +55,7 @@
         return mClockMillis.getAsLong();
     }
 
-    /** Returns the prompt parts with which requests are refused. */
+    /** Returns the poison requests, which are refused. */
     public PromptQuarantine quarantine() {
         return mQuarantine;
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -145,7 +145,7 @@
                         service.get(),
                         id,
                         parsedHead.prompt(),
-                        RequestHash.of(head, id, body),
+                        RequestHash.of(head, id, parsedHead.prompt(), body),
                         parsedHead.resumeAfter(),
                         arrivedMillis,
                         arrivedMillis
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RequestHash.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RequestHash.java
@@ -9,17 +9,20 @@
 import java.util.Optional;
 import org.magnoliapick.lib.WorkspaceId;
 import org.magnoliapick.relay.Fingerprint;
+import org.magnoliapick.relay.Prompt;
 
 /** Computes the fingerprints of requests. */
 final class RequestHash {
     private RequestHash() {}
 
     /** Returns the fingerprint of a request; reads nothing from the body's reader. */
-    static Fingerprint of(HttpRequest head, Optional<WorkspaceId> workspace, ByteBuf body) {
+    static Fingerprint of(
+            HttpRequest head, Optional<WorkspaceId> workspace, Prompt prompt, ByteBuf body) {
         MessageDigest digest = sha256();
         update(digest, head.method().name());
         update(digest, head.uri());
         update(digest, workspace.map(WorkspaceId::value).orElse(""));
+        update(digest, prompt.describeParts());
         for (ByteBuffer each : body.nioBuffers()) {
             digest.update(each);
         }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/PoisonRequestPathTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/PoisonRequestPathTest.java
@@ -17,6 +17,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliapick.gateway.internal.GatewayProcess;
 
 /** Guards against requests that crash each upstream that begins to answer them. */
@@ -26,6 +28,8 @@
 
     private static final String STREAM_START =
             "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String PLAIN_ANSWER =
+            "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nContent-Length: 2\r\n\r\nok";
     private static final String EVENT = "e\r\nid: 1\ndata:a\n\n\r\n";
     private static final String PARTIAL_EVENT = "7\r\nid: 1\nd\r\n";
     private static final String END = "0\r\n\r\n";
@@ -97,7 +101,14 @@
     private boolean respond(int number, String request, Socket socket) throws IOException {
         int start = request.indexOf("Id: ") + 4;
         String id = request.substring(start, request.indexOf('\r', start));
+        if (!request.contains("/stream/")) {
+            return respondPlain(number, request, id, socket);
+        }
         FakeServer.write(socket, STREAM_START.formatted(id));
+        if (request.contains("deadly")) {
+            crash(number);
+            return false;
+        }
         if (request.contains("reset")) {
             mReset.incrementAndGet();
             FakeServer.reset(socket);
@@ -105,23 +116,46 @@
         }
         if (request.contains("bad")) {
             FakeServer.write(socket, PARTIAL_EVENT);
-            mCrashed.add("u" + number);
-            mUpstreams.get(number).close();
+            crash(number);
             return false;
         }
         FakeServer.write(socket, EVENT + END);
         return true;
     }
 
+    private boolean respondPlain(int number, String request, String id, Socket socket)
+            throws IOException {
+        if (request.contains("deadly")) {
+            crash(number);
+            return false;
+        }
+        FakeServer.write(socket, PLAIN_ANSWER.formatted(id));
+        return true;
+    }
+
+    private void crash(int number) throws IOException {
+        mCrashed.add("u" + number);
+        mUpstreams.get(number).close();
+    }
+
     private String send(String id, String parts) throws IOException {
+        return send("/stream/x", id, parts, "");
+    }
+
+    private String send(String path, String id, String parts, String body) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", mCallerPort)) {
             FakeServer.write(
                     socket,
-                    "POST /stream/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: "
+                    "POST "
+                            + path
+                            + " HTTP/1.1\r\nHost: 127.0.0.1\r\nId: "
                             + id
                             + "\r\nParts: "
                             + parts
-                            + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+                            + "\r\nConnection: close\r\nContent-Length: "
+                            + body.length()
+                            + "\r\n\r\n"
+                            + body);
             ByteArrayOutputStream bytes = new ByteArrayOutputStream();
             socket.getInputStream().transferTo(bytes);
             return bytes.toString(StandardCharsets.ISO_8859_1);
@@ -162,4 +196,21 @@
         awaitLogged("\"kind\":\"prompt.quarantined\",\"service\":\"s\",\"part\":\"bad\"");
         awaitLogged("\"cause\":\"quarantined\"");
     }
+
+    /** Repetitions of one request crash what runs it; another request on its path is sound. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/safe/x", "/unsafe/x", "/stream/x"})
+    void refusesRepetitionsOfARequestThatCrashesItsUpstreams(String path) throws Exception {
+        String response = "";
+        for (int i = 0; !response.contains("quarantined"); i++) {
+            response = send(path, "deadly-" + i, "", "deadly");
+            mCrashed.forEach(each -> awaitLogged(each + "/"));
+            mClockLeadMillis.addAndGet(3_000);
+        }
+        assertThat(mCrashed).hasSizeLessThanOrEqualTo(5);
+        assertThat(response).startsWith("HTTP/1.1 503").contains("retry-after: ");
+        assertThat(send(path, "sound", "", "sound")).startsWith("HTTP/1.1 200");
+        awaitLogged("\"kind\":\"fingerprint.quarantined\",\"service\":\"s\",\"fingerprint\":");
+        awaitLogged("\"cause\":\"quarantined\"");
+    }
 }
--- a/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
+++ b/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
@@ -26,7 +26,10 @@
     private static final String REFUSED = "request.refused";
     private static final String LOAD = "pool.load";
     private static final String UPSTREAM = "upstream.";
-    private static final String PROMPT_QUARANTINED = "prompt.quarantined";
+
+    /** The lines of quarantines, and the field that tells what is quarantined. */
+    private static final Map<String, String> QUARANTINED =
+            Map.of("prompt.quarantined", "part", "fingerprint.quarantined", "fingerprint");
 
     /** Reasons that several kinds of lines may name and that have a text of their own. */
     private static final Set<String> REASONS = Set.of("quarantined", "rate-limited");
@@ -156,26 +159,28 @@
     }
 
     /**
-     * Tells which prompt parts were quarantined that the request has, or whose requests crashed an
-     * upstream that the request was sent to; each with the evidence that the last line has.
+     * Tells which prompt parts or fingerprints were quarantined that the request has, or whose
+     * requests crashed an upstream that the request was sent to; each with the evidence that the
+     * last line has.
      */
     private static void tellQuarantines(
             Invocation invocation, List<LogLine> story, List<String> files) {
         Set<String> words = new HashSet<>();
         for (LogLine line : story) {
             words.add(line.text("part"));
+            words.add(line.text("fingerprint"));
             words.addAll(List.of(line.text("parts").split(" ")));
             words.add(line.text("upstream"));
         }
         words.remove("");
-        Map<String, LogLine> lastByPart = new TreeMap<>();
+        Map<String, LogLine> lastById = new TreeMap<>();
         LogLine.read(
                         files,
-                        text -> text.contains(PROMPT_QUARANTINED),
-                        line -> line.kind().equals(PROMPT_QUARANTINED) && concerns(line, words))
-                .forEach(line -> lastByPart.put(line.text("part"), line));
+                        text -> QUARANTINED.keySet().stream().anyMatch(text::contains),
+                        line -> QUARANTINED.containsKey(line.kind()) && concerns(line, words))
+                .forEach(line -> lastById.put(quarantinedId(line), line));
         long fromMillis = story.get(0).atMillis();
-        lastByPart.values().forEach(line -> invocation.print(line.told(fromMillis)));
+        lastById.values().forEach(line -> invocation.print(line.told(fromMillis)));
     }
 
     /**
@@ -204,9 +209,13 @@
                 .forEach(line -> invocation.print(line.told(fromMillis)));
     }
 
+    private static String quarantinedId(LogLine line) {
+        return line.text(QUARANTINED.get(line.kind()));
+    }
+
     private static boolean concerns(LogLine line, Set<String> words) {
         // The evidence lists each crashed upstream, a slash and its requests.
-        return words.contains(line.text("part"))
+        return words.contains(quarantinedId(line))
                 || Stream.of(line.text("evidence").split(" "))
                         .anyMatch(each -> words.contains(each.split("/")[0]));
     }
--- a/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
+++ b/magnoliapick-pgm/src/test/java/org/magnoliapick/pgm/MainTest.java
@@ -289,12 +289,32 @@
                         + "\"cause\":\"quarantined\",\"part\":\"bad\"}\n");
         assertThat(run("logs", "explain", "ab", file.toString())).isZero();
         assertThat(mOut.toString())
-                .contains("Cause: requests with a part of its prompt crashed upstreams")
+                .contains("Cause: the same request, or requests with a part of its prompt, crashed")
                 .contains("-10 ms  prompt.quarantined  part=bad  crashes=3");
         assertThat(run("logs", "explain", "victim", file.toString())).isZero();
         assertThat(mOut.toString()).contains("+10 ms  prompt.quarantined  part=bad  crashes=3");
     }
 
+    @Test
+    void tellsWhichRepeatedRequestWasQuarantined() throws IOException {
+        Path file = mDirectory.resolve("gateway.log");
+        Files.writeString(
+                file,
+                "{\"atMillis\":10,\"kind\":\"attempt.ended\",\"request\":\"victim\","
+                        + "\"upstream\":\"v\",\"end\":\"LOST_BEFORE_HEAD\","
+                        + "\"fingerprint\":\"0a\"}\n"
+                        + "{\"atMillis\":20,\"kind\":\"fingerprint.quarantined\","
+                        + "\"fingerprint\":\"0b\",\"crashes\":3,"
+                        + "\"evidence\":\"u/0b v/0b w/0b\"}\n"
+                        + "{\"atMillis\":30,\"kind\":\"request.refused\",\"request\":\"ab\","
+                        + "\"cause\":\"quarantined\",\"fingerprint\":\"0b\"}\n");
+        String told = "fingerprint.quarantined  fingerprint=0b  crashes=3";
+        assertThat(run("logs", "explain", "ab", file.toString())).isZero();
+        assertThat(mOut.toString()).contains("-10 ms  " + told);
+        assertThat(run("logs", "explain", "victim", file.toString())).isZero();
+        assertThat(mOut.toString()).contains("+10 ms  " + told);
+    }
+
     @Test
     void tellsTheRateLimitsThatWereInForce() throws IOException {
         Path file = mDirectory.resolve("gateway.log");
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UsePacketCodec.java
@@ -16,6 +16,7 @@
 import org.magnoliapick.pool.PoolDecision;
 import org.magnoliapick.pool.PoolJob;
 import org.magnoliapick.pool.PoolMessage;
+import org.magnoliapick.relay.Fingerprint;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.rpc.gen.UseAsk;
@@ -126,6 +127,9 @@
                         job.dueMillis() - nowMillis,
                         job.rank(),
                         job.domain().value());
+        if (!job.fingerprint().equals(Fingerprint.UNKNOWN)) {
+            ask.setFingerprint(job.fingerprint().bits());
+        }
         if (job.callerRetry()) {
             ask.setReturned(true);
         }
@@ -150,6 +154,7 @@
                 new WorkspaceId(ask.getAccount()),
                 new FailureDomain(ask.getDomain()),
                 new Prompt(ask.getPromptTokens(), ask.getOutputTokens(), parts),
+                new Fingerprint(ask.getFingerprint()),
                 ask.getObjectiveMillis(),
                 nowMillis + ask.getOnTimeInMillis(),
                 ask.isReturned(),
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseAsk.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseAsk.java
@@ -28,6 +28,7 @@
   private static final org.apache.thrift.protocol.TField UNDER_WAY_FIELD_DESC = new org.apache.thrift.protocol.TField("underWay", org.apache.thrift.protocol.TType.BOOL, (short)12);
   private static final org.apache.thrift.protocol.TField EXCLUDED_FIELD_DESC = new org.apache.thrift.protocol.TField("excluded", org.apache.thrift.protocol.TType.LIST, (short)13);
   private static final org.apache.thrift.protocol.TField LOST_FIELD_DESC = new org.apache.thrift.protocol.TField("lost", org.apache.thrift.protocol.TType.LIST, (short)14);
+  private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.I64, (short)20);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UseAskStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UseAskTupleSchemeFactory();
@@ -47,6 +48,10 @@
   public boolean underWay; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> excluded; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> lost; // optional
+  /**
+   * A hash of the request's method, path, caller, prompt and body.
+   */
+  public long fingerprint; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -64,7 +69,11 @@
     RETURNED((short)11, "returned"),
     UNDER_WAY((short)12, "underWay"),
     EXCLUDED((short)13, "excluded"),
-    LOST((short)14, "lost");
+    LOST((short)14, "lost"),
+    /**
+     * A hash of the request's method, path, caller, prompt and body.
+     */
+    FINGERPRINT((short)20, "fingerprint");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -110,6 +119,8 @@
           return EXCLUDED;
         case 14: // LOST
           return LOST;
+        case 20: // FINGERPRINT
+          return FINGERPRINT;
         default:
           return null;
       }
@@ -161,8 +172,9 @@
   private static final int __RANK_ISSET_ID = 5;
   private static final int __RETURNED_ISSET_ID = 6;
   private static final int __UNDERWAY_ISSET_ID = 7;
-  private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.RETURNED,_Fields.UNDER_WAY,_Fields.EXCLUDED,_Fields.LOST};
+  private static final int __FINGERPRINT_ISSET_ID = 8;
+  private short __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.RETURNED,_Fields.UNDER_WAY,_Fields.EXCLUDED,_Fields.LOST,_Fields.FINGERPRINT};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -199,6 +211,8 @@
     tmpMap.put(_Fields.LOST, new org.apache.thrift.meta_data.FieldMetaData("lost", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.FINGERPRINT, new org.apache.thrift.meta_data.FieldMetaData("fingerprint", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UseAsk.class, metaDataMap);
   }
@@ -279,6 +293,7 @@
       java.util.List<java.lang.String> __this__lost = new java.util.ArrayList<java.lang.String>(other.lost);
       this.lost = __this__lost;
     }
+    this.fingerprint = other.fingerprint;
   }
 
   @Override
@@ -311,6 +326,8 @@
     this.underWay = false;
     this.excluded = null;
     this.lost = null;
+    setFingerprintIsSet(false);
+    this.fingerprint = 0;
   }
 
   public long getNumber() {
@@ -720,6 +737,35 @@
     }
   }
 
+  /**
+   * A hash of the request's method, path, caller, prompt and body.
+   */
+  public long getFingerprint() {
+    return this.fingerprint;
+  }
+
+  /**
+   * A hash of the request's method, path, caller, prompt and body.
+   */
+  public UseAsk setFingerprint(long fingerprint) {
+    this.fingerprint = fingerprint;
+    setFingerprintIsSet(true);
+    return this;
+  }
+
+  public void unsetFingerprint() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FINGERPRINT_ISSET_ID);
+  }
+
+  /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
+  public boolean isSetFingerprint() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FINGERPRINT_ISSET_ID);
+  }
+
+  public void setFingerprintIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FINGERPRINT_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -843,6 +889,14 @@
       }
       break;
 
+    case FINGERPRINT:
+      if (value == null) {
+        unsetFingerprint();
+      } else {
+        setFingerprint((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -895,6 +949,9 @@
     case LOST:
       return getLost();
 
+    case FINGERPRINT:
+      return getFingerprint();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -937,6 +994,8 @@
       return isSetExcluded();
     case LOST:
       return isSetLost();
+    case FINGERPRINT:
+      return isSetFingerprint();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1089,6 +1148,15 @@
         return false;
     }
 
+    boolean this_present_fingerprint = true && this.isSetFingerprint();
+    boolean that_present_fingerprint = true && that.isSetFingerprint();
+    if (this_present_fingerprint || that_present_fingerprint) {
+      if (!(this_present_fingerprint && that_present_fingerprint))
+        return false;
+      if (this.fingerprint != that.fingerprint)
+        return false;
+    }
+
     return true;
   }
 
@@ -1144,6 +1212,10 @@
     if (isSetLost())
       hashCode = hashCode * 8191 + lost.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetFingerprint()) ? 131071 : 524287);
+    if (isSetFingerprint())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(fingerprint);
+
     return hashCode;
   }
 
@@ -1305,6 +1377,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFingerprint()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1424,6 +1506,12 @@
       }
       first = false;
     }
+    if (isSetFingerprint()) {
+      if (!first) sb.append(", ");
+      sb.append("fingerprint:");
+      sb.append(this.fingerprint);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1643,6 +1731,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 20: // FINGERPRINT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.fingerprint = iprot.readI64();
+              struct.setFingerprintIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1765,6 +1861,11 @@
         oprot.writeString(struct.domain);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetFingerprint()) {
+        oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
+        oprot.writeI64(struct.fingerprint);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1813,7 +1914,10 @@
       if (struct.isSetLost()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetFingerprint()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetReturned()) {
         oprot.writeBool(struct.returned);
       }
@@ -1838,6 +1942,9 @@
           }
         }
       }
+      if (struct.isSetFingerprint()) {
+        oprot.writeI64(struct.fingerprint);
+      }
     }
 
     @Override
@@ -1875,7 +1982,7 @@
       struct.setRankIsSet(true);
       struct.domain = iprot.readString();
       struct.setDomainIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.returned = iprot.readBool();
         struct.setReturnedIsSet(true);
@@ -1910,6 +2017,10 @@
         }
         struct.setLostIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.fingerprint = iprot.readI64();
+        struct.setFingerprintIsSet(true);
+      }
     }
   }
 
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
@@ -1177,15 +1177,15 @@
           case 4: // GRANTS_TAKEN
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map96 = iprot.readMapBegin();
-                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map96.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key97;
-                long _val98;
-                for (int _i99 = 0; _i99 < _map96.size; ++_i99)
+                org.apache.thrift.protocol.TMap _map112 = iprot.readMapBegin();
+                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map112.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key113;
+                long _val114;
+                for (int _i115 = 0; _i115 < _map112.size; ++_i115)
                 {
-                  _key97 = iprot.readString();
-                  _val98 = iprot.readI64();
-                  struct.grantsTaken.put(_key97, _val98);
+                  _key113 = iprot.readString();
+                  _val114 = iprot.readI64();
+                  struct.grantsTaken.put(_key113, _val114);
                 }
                 iprot.readMapEnd();
               }
@@ -1197,14 +1197,14 @@
           case 5: // ASKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list100 = iprot.readListBegin();
-                struct.asks = new java.util.ArrayList<UseAsk>(_list100.size);
-                @org.apache.thrift.annotation.Nullable UseAsk _elem101;
-                for (int _i102 = 0; _i102 < _list100.size; ++_i102)
+                org.apache.thrift.protocol.TList _list116 = iprot.readListBegin();
+                struct.asks = new java.util.ArrayList<UseAsk>(_list116.size);
+                @org.apache.thrift.annotation.Nullable UseAsk _elem117;
+                for (int _i118 = 0; _i118 < _list116.size; ++_i118)
                 {
-                  _elem101 = new UseAsk();
-                  _elem101.read(iprot);
-                  struct.asks.add(_elem101);
+                  _elem117 = new UseAsk();
+                  _elem117.read(iprot);
+                  struct.asks.add(_elem117);
                 }
                 iprot.readListEnd();
               }
@@ -1216,14 +1216,14 @@
           case 6: // DECISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list103 = iprot.readListBegin();
-                struct.decisions = new java.util.ArrayList<UseDecision>(_list103.size);
-                @org.apache.thrift.annotation.Nullable UseDecision _elem104;
-                for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+                org.apache.thrift.protocol.TList _list119 = iprot.readListBegin();
+                struct.decisions = new java.util.ArrayList<UseDecision>(_list119.size);
+                @org.apache.thrift.annotation.Nullable UseDecision _elem120;
+                for (int _i121 = 0; _i121 < _list119.size; ++_i121)
                 {
-                  _elem104 = new UseDecision();
-                  _elem104.read(iprot);
-                  struct.decisions.add(_elem104);
+                  _elem120 = new UseDecision();
+                  _elem120.read(iprot);
+                  struct.decisions.add(_elem120);
                 }
                 iprot.readListEnd();
               }
@@ -1235,14 +1235,14 @@
           case 7: // WITHDRAWALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
-                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list106.size);
-                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem107;
-                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
+                org.apache.thrift.protocol.TList _list122 = iprot.readListBegin();
+                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list122.size);
+                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem123;
+                for (int _i124 = 0; _i124 < _list122.size; ++_i124)
                 {
-                  _elem107 = new UseWithdrawal();
-                  _elem107.read(iprot);
-                  struct.withdrawals.add(_elem107);
+                  _elem123 = new UseWithdrawal();
+                  _elem123.read(iprot);
+                  struct.withdrawals.add(_elem123);
                 }
                 iprot.readListEnd();
               }
@@ -1316,10 +1316,10 @@
           oprot.writeFieldBegin(GRANTS_TAKEN_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.grantsTaken.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter109 : struct.grantsTaken.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter125 : struct.grantsTaken.entrySet())
             {
-              oprot.writeString(_iter109.getKey());
-              oprot.writeI64(_iter109.getValue());
+              oprot.writeString(_iter125.getKey());
+              oprot.writeI64(_iter125.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1331,9 +1331,9 @@
           oprot.writeFieldBegin(ASKS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.asks.size()));
-            for (UseAsk _iter110 : struct.asks)
+            for (UseAsk _iter126 : struct.asks)
             {
-              _iter110.write(oprot);
+              _iter126.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1345,9 +1345,9 @@
           oprot.writeFieldBegin(DECISIONS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.decisions.size()));
-            for (UseDecision _iter111 : struct.decisions)
+            for (UseDecision _iter127 : struct.decisions)
             {
-              _iter111.write(oprot);
+              _iter127.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1359,9 +1359,9 @@
           oprot.writeFieldBegin(WITHDRAWALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.withdrawals.size()));
-            for (UseWithdrawal _iter112 : struct.withdrawals)
+            for (UseWithdrawal _iter128 : struct.withdrawals)
             {
-              _iter112.write(oprot);
+              _iter128.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1441,37 +1441,37 @@
       if (struct.isSetGrantsTaken()) {
         {
           oprot.writeI32(struct.grantsTaken.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter113 : struct.grantsTaken.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter129 : struct.grantsTaken.entrySet())
           {
-            oprot.writeString(_iter113.getKey());
-            oprot.writeI64(_iter113.getValue());
+            oprot.writeString(_iter129.getKey());
+            oprot.writeI64(_iter129.getValue());
           }
         }
       }
       if (struct.isSetAsks()) {
         {
           oprot.writeI32(struct.asks.size());
-          for (UseAsk _iter114 : struct.asks)
+          for (UseAsk _iter130 : struct.asks)
           {
-            _iter114.write(oprot);
+            _iter130.write(oprot);
           }
         }
       }
       if (struct.isSetDecisions()) {
         {
           oprot.writeI32(struct.decisions.size());
-          for (UseDecision _iter115 : struct.decisions)
+          for (UseDecision _iter131 : struct.decisions)
           {
-            _iter115.write(oprot);
+            _iter131.write(oprot);
           }
         }
       }
       if (struct.isSetWithdrawals()) {
         {
           oprot.writeI32(struct.withdrawals.size());
-          for (UseWithdrawal _iter116 : struct.withdrawals)
+          for (UseWithdrawal _iter132 : struct.withdrawals)
           {
-            _iter116.write(oprot);
+            _iter132.write(oprot);
           }
         }
       }
@@ -1501,57 +1501,57 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map117 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map117.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key118;
-          long _val119;
-          for (int _i120 = 0; _i120 < _map117.size; ++_i120)
+          org.apache.thrift.protocol.TMap _map133 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map133.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key134;
+          long _val135;
+          for (int _i136 = 0; _i136 < _map133.size; ++_i136)
           {
-            _key118 = iprot.readString();
-            _val119 = iprot.readI64();
-            struct.grantsTaken.put(_key118, _val119);
+            _key134 = iprot.readString();
+            _val135 = iprot.readI64();
+            struct.grantsTaken.put(_key134, _val135);
           }
         }
         struct.setGrantsTakenIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list121 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.asks = new java.util.ArrayList<UseAsk>(_list121.size);
-          @org.apache.thrift.annotation.Nullable UseAsk _elem122;
-          for (int _i123 = 0; _i123 < _list121.size; ++_i123)
+          org.apache.thrift.protocol.TList _list137 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.asks = new java.util.ArrayList<UseAsk>(_list137.size);
+          @org.apache.thrift.annotation.Nullable UseAsk _elem138;
+          for (int _i139 = 0; _i139 < _list137.size; ++_i139)
           {
-            _elem122 = new UseAsk();
-            _elem122.read(iprot);
-            struct.asks.add(_elem122);
+            _elem138 = new UseAsk();
+            _elem138.read(iprot);
+            struct.asks.add(_elem138);
           }
         }
         struct.setAsksIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list124 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.decisions = new java.util.ArrayList<UseDecision>(_list124.size);
-          @org.apache.thrift.annotation.Nullable UseDecision _elem125;
-          for (int _i126 = 0; _i126 < _list124.size; ++_i126)
+          org.apache.thrift.protocol.TList _list140 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.decisions = new java.util.ArrayList<UseDecision>(_list140.size);
+          @org.apache.thrift.annotation.Nullable UseDecision _elem141;
+          for (int _i142 = 0; _i142 < _list140.size; ++_i142)
           {
-            _elem125 = new UseDecision();
-            _elem125.read(iprot);
-            struct.decisions.add(_elem125);
+            _elem141 = new UseDecision();
+            _elem141.read(iprot);
+            struct.decisions.add(_elem141);
           }
         }
         struct.setDecisionsIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list127 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list127.size);
-          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem128;
-          for (int _i129 = 0; _i129 < _list127.size; ++_i129)
+          org.apache.thrift.protocol.TList _list143 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list143.size);
+          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem144;
+          for (int _i145 = 0; _i145 < _list143.size; ++_i145)
           {
-            _elem128 = new UseWithdrawal();
-            _elem128.read(iprot);
-            struct.withdrawals.add(_elem128);
+            _elem144 = new UseWithdrawal();
+            _elem144.read(iprot);
+            struct.withdrawals.add(_elem144);
           }
         }
         struct.setWithdrawalsIsSet(true);
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseRateLimits.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseRateLimits.java
@@ -428,14 +428,14 @@
           case 2: // LIMITS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
-                struct.limits = new java.util.ArrayList<UseRateLimit>(_list88.size);
-                @org.apache.thrift.annotation.Nullable UseRateLimit _elem89;
-                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
+                org.apache.thrift.protocol.TList _list104 = iprot.readListBegin();
+                struct.limits = new java.util.ArrayList<UseRateLimit>(_list104.size);
+                @org.apache.thrift.annotation.Nullable UseRateLimit _elem105;
+                for (int _i106 = 0; _i106 < _list104.size; ++_i106)
                 {
-                  _elem89 = new UseRateLimit();
-                  _elem89.read(iprot);
-                  struct.limits.add(_elem89);
+                  _elem105 = new UseRateLimit();
+                  _elem105.read(iprot);
+                  struct.limits.add(_elem105);
                 }
                 iprot.readListEnd();
               }
@@ -471,9 +471,9 @@
           oprot.writeFieldBegin(LIMITS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
-            for (UseRateLimit _iter91 : struct.limits)
+            for (UseRateLimit _iter107 : struct.limits)
             {
-              _iter91.write(oprot);
+              _iter107.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -507,9 +507,9 @@
       if (struct.isSetLimits()) {
         {
           oprot.writeI32(struct.limits.size());
-          for (UseRateLimit _iter92 : struct.limits)
+          for (UseRateLimit _iter108 : struct.limits)
           {
-            _iter92.write(oprot);
+            _iter108.write(oprot);
           }
         }
       }
@@ -523,14 +523,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.limits = new java.util.ArrayList<UseRateLimit>(_list93.size);
-          @org.apache.thrift.annotation.Nullable UseRateLimit _elem94;
-          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          org.apache.thrift.protocol.TList _list109 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.limits = new java.util.ArrayList<UseRateLimit>(_list109.size);
+          @org.apache.thrift.annotation.Nullable UseRateLimit _elem110;
+          for (int _i111 = 0; _i111 < _list109.size; ++_i111)
           {
-            _elem94 = new UseRateLimit();
-            _elem94.read(iprot);
-            struct.limits.add(_elem94);
+            _elem110 = new UseRateLimit();
+            _elem110.read(iprot);
+            struct.limits.add(_elem110);
           }
         }
         struct.setLimitsIsSet(true);
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseSighting.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseSighting.java
@@ -7,7 +7,7 @@
 package org.magnoliapick.rpc.gen;
 
 /**
- * A crash of an upstream while requests with a prompt part were unanswered there.
+ * A crash of an upstream while requests that have something in common were unanswered there.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class UseSighting implements org.apache.thrift.TBase<UseSighting, UseSighting._Fields>, java.io.Serializable, Cloneable, Comparable<UseSighting> {
@@ -24,10 +24,13 @@
 
   public @org.apache.thrift.annotation.Nullable java.lang.String upstream; // required
   public long startedMillis; // required
+  /**
+   * The fingerprints of the requests; their identifiers in an older build.
+   */
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> requests; // required
   public long ageMillis; // required
   /**
-   * Whether a request with the part was answered afterwards.
+   * Whether such a request was answered.
    */
   public boolean refuted; // optional
 
@@ -35,10 +38,13 @@
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     UPSTREAM((short)1, "upstream"),
     STARTED_MILLIS((short)2, "startedMillis"),
+    /**
+     * The fingerprints of the requests; their identifiers in an older build.
+     */
     REQUESTS((short)3, "requests"),
     AGE_MILLIS((short)4, "ageMillis"),
     /**
-     * Whether a request with the part was answered afterwards.
+     * Whether such a request was answered.
      */
     REFUTED((short)5, "refuted");
 
@@ -248,11 +254,17 @@
     this.requests.add(elem);
   }
 
+  /**
+   * The fingerprints of the requests; their identifiers in an older build.
+   */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<java.lang.String> getRequests() {
     return this.requests;
   }
 
+  /**
+   * The fingerprints of the requests; their identifiers in an older build.
+   */
   public UseSighting setRequests(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> requests) {
     this.requests = requests;
     return this;
@@ -297,14 +309,14 @@
   }
 
   /**
-   * Whether a request with the part was answered afterwards.
+   * Whether such a request was answered.
    */
   public boolean isRefuted() {
     return this.refuted;
   }
 
   /**
-   * Whether a request with the part was answered afterwards.
+   * Whether such a request was answered.
    */
   public UseSighting setRefuted(boolean refuted) {
     this.refuted = refuted;
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseSuspects.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseSuspects.java
@@ -7,7 +7,7 @@
 package org.magnoliapick.rpc.gen;
 
 /**
- * The suspected prompt parts of the sender that the receiver lacks.
+ * The suspects of the sender that the receiver lacks.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class UseSuspects implements org.apache.thrift.TBase<UseSuspects, UseSuspects._Fields>, java.io.Serializable, Cloneable, Comparable<UseSuspects> {
@@ -15,17 +15,20 @@
 
   private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField CONTENTS_FIELD_DESC = new org.apache.thrift.protocol.TField("contents", org.apache.thrift.protocol.TType.LIST, (short)20);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UseSuspectsStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UseSuspectsTupleSchemeFactory();
 
   public long version; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<UseSuspect> suspects; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<UseSuspectContent> contents; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     VERSION((short)1, "version"),
-    SUSPECTS((short)2, "suspects");
+    SUSPECTS((short)2, "suspects"),
+    CONTENTS((short)20, "contents");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +48,8 @@
           return VERSION;
         case 2: // SUSPECTS
           return SUSPECTS;
+        case 20: // CONTENTS
+          return CONTENTS;
         default:
           return null;
       }
@@ -90,7 +95,7 @@
   // isset id assignments
   private static final int __VERSION_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.SUSPECTS};
+  private static final _Fields optionals[] = {_Fields.SUSPECTS,_Fields.CONTENTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -99,6 +104,9 @@
     tmpMap.put(_Fields.SUSPECTS, new org.apache.thrift.meta_data.FieldMetaData("suspects", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseSuspect.class))));
+    tmpMap.put(_Fields.CONTENTS, new org.apache.thrift.meta_data.FieldMetaData("contents", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UseSuspectContent.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UseSuspects.class, metaDataMap);
   }
@@ -127,6 +135,13 @@
       }
       this.suspects = __this__suspects;
     }
+    if (other.isSetContents()) {
+      java.util.List<UseSuspectContent> __this__contents = new java.util.ArrayList<UseSuspectContent>(other.contents.size());
+      for (UseSuspectContent other_element : other.contents) {
+        __this__contents.add(new UseSuspectContent(other_element));
+      }
+      this.contents = __this__contents;
+    }
   }
 
   @Override
@@ -139,6 +154,7 @@
     setVersionIsSet(false);
     this.version = 0;
     this.suspects = null;
+    this.contents = null;
   }
 
   public long getVersion() {
@@ -205,6 +221,47 @@
     }
   }
 
+  public int getContentsSize() {
+    return (this.contents == null) ? 0 : this.contents.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<UseSuspectContent> getContentsIterator() {
+    return (this.contents == null) ? null : this.contents.iterator();
+  }
+
+  public void addToContents(UseSuspectContent elem) {
+    if (this.contents == null) {
+      this.contents = new java.util.ArrayList<UseSuspectContent>();
+    }
+    this.contents.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<UseSuspectContent> getContents() {
+    return this.contents;
+  }
+
+  public UseSuspects setContents(@org.apache.thrift.annotation.Nullable java.util.List<UseSuspectContent> contents) {
+    this.contents = contents;
+    return this;
+  }
+
+  public void unsetContents() {
+    this.contents = null;
+  }
+
+  /** Returns true if field contents is set (has been assigned a value) and false otherwise */
+  public boolean isSetContents() {
+    return this.contents != null;
+  }
+
+  public void setContentsIsSet(boolean value) {
+    if (!value) {
+      this.contents = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -224,6 +281,14 @@
       }
       break;
 
+    case CONTENTS:
+      if (value == null) {
+        unsetContents();
+      } else {
+        setContents((java.util.List<UseSuspectContent>)value);
+      }
+      break;
+
     }
   }
 
@@ -237,6 +302,9 @@
     case SUSPECTS:
       return getSuspects();
 
+    case CONTENTS:
+      return getContents();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -253,6 +321,8 @@
       return isSetVersion();
     case SUSPECTS:
       return isSetSuspects();
+    case CONTENTS:
+      return isSetContents();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -288,6 +358,15 @@
         return false;
     }
 
+    boolean this_present_contents = true && this.isSetContents();
+    boolean that_present_contents = true && that.isSetContents();
+    if (this_present_contents || that_present_contents) {
+      if (!(this_present_contents && that_present_contents))
+        return false;
+      if (!this.contents.equals(that.contents))
+        return false;
+    }
+
     return true;
   }
 
@@ -301,6 +380,10 @@
     if (isSetSuspects())
       hashCode = hashCode * 8191 + suspects.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetContents()) ? 131071 : 524287);
+    if (isSetContents())
+      hashCode = hashCode * 8191 + contents.hashCode();
+
     return hashCode;
   }
 
@@ -332,6 +415,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetContents(), other.isSetContents());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetContents()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.contents, other.contents);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -369,6 +462,16 @@
       }
       first = false;
     }
+    if (isSetContents()) {
+      if (!first) sb.append(", ");
+      sb.append("contents:");
+      if (this.contents == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.contents);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -428,14 +531,14 @@
           case 2: // SUSPECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list80 = iprot.readListBegin();
-                struct.suspects = new java.util.ArrayList<UseSuspect>(_list80.size);
-                @org.apache.thrift.annotation.Nullable UseSuspect _elem81;
-                for (int _i82 = 0; _i82 < _list80.size; ++_i82)
+                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<UseSuspect>(_list88.size);
+                @org.apache.thrift.annotation.Nullable UseSuspect _elem89;
+                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
                 {
-                  _elem81 = new UseSuspect();
-                  _elem81.read(iprot);
-                  struct.suspects.add(_elem81);
+                  _elem89 = new UseSuspect();
+                  _elem89.read(iprot);
+                  struct.suspects.add(_elem89);
                 }
                 iprot.readListEnd();
               }
@@ -444,6 +547,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 20: // CONTENTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list91 = iprot.readListBegin();
+                struct.contents = new java.util.ArrayList<UseSuspectContent>(_list91.size);
+                @org.apache.thrift.annotation.Nullable UseSuspectContent _elem92;
+                for (int _i93 = 0; _i93 < _list91.size; ++_i93)
+                {
+                  _elem92 = new UseSuspectContent();
+                  _elem92.read(iprot);
+                  struct.contents.add(_elem92);
+                }
+                iprot.readListEnd();
+              }
+              struct.setContentsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -471,9 +593,23 @@
           oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.suspects.size()));
-            for (UseSuspect _iter83 : struct.suspects)
+            for (UseSuspect _iter94 : struct.suspects)
             {
-              _iter83.write(oprot);
+              _iter94.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.contents != null) {
+        if (struct.isSetContents()) {
+          oprot.writeFieldBegin(CONTENTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.contents.size()));
+            for (UseSuspectContent _iter95 : struct.contents)
+            {
+              _iter95.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -503,13 +639,25 @@
       if (struct.isSetSuspects()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetContents()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetSuspects()) {
         {
           oprot.writeI32(struct.suspects.size());
-          for (UseSuspect _iter84 : struct.suspects)
+          for (UseSuspect _iter96 : struct.suspects)
           {
-            _iter84.write(oprot);
+            _iter96.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetContents()) {
+        {
+          oprot.writeI32(struct.contents.size());
+          for (UseSuspectContent _iter97 : struct.contents)
+          {
+            _iter97.write(oprot);
           }
         }
       }
@@ -520,21 +668,35 @@
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.version = iprot.readI64();
       struct.setVersionIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.suspects = new java.util.ArrayList<UseSuspect>(_list85.size);
-          @org.apache.thrift.annotation.Nullable UseSuspect _elem86;
-          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+          org.apache.thrift.protocol.TList _list98 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.suspects = new java.util.ArrayList<UseSuspect>(_list98.size);
+          @org.apache.thrift.annotation.Nullable UseSuspect _elem99;
+          for (int _i100 = 0; _i100 < _list98.size; ++_i100)
           {
-            _elem86 = new UseSuspect();
-            _elem86.read(iprot);
-            struct.suspects.add(_elem86);
+            _elem99 = new UseSuspect();
+            _elem99.read(iprot);
+            struct.suspects.add(_elem99);
           }
         }
         struct.setSuspectsIsSet(true);
       }
+      if (incoming.get(1)) {
+        {
+          org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.contents = new java.util.ArrayList<UseSuspectContent>(_list101.size);
+          @org.apache.thrift.annotation.Nullable UseSuspectContent _elem102;
+          for (int _i103 = 0; _i103 < _list101.size; ++_i103)
+          {
+            _elem102 = new UseSuspectContent();
+            _elem102.read(iprot);
+            struct.contents.add(_elem102);
+          }
+        }
+        struct.setContentsIsSet(true);
+      }
     }
   }
 
--- a/magnoliapick-rpc/src/main/thrift/use.thrift
+++ b/magnoliapick-rpc/src/main/thrift/use.thrift
@@ -107,6 +107,8 @@
   12: optional bool underWay
   13: optional list<string> excluded
   14: optional list<string> lost
+  /** A hash of the request's method, path, caller, prompt and body. */
+  20: optional i64 fingerprint
 }
 
 /** What was decided: it waits if neither upstream nor refusal is there. */
@@ -126,13 +128,14 @@
   2: required string serviceName
 }
 
-/** A crash of an upstream while requests with a prompt part were unanswered there. */
+/** A crash of an upstream while requests that have something in common were unanswered there. */
 struct UseSighting {
   1: required string upstream
   2: required i64 startedMillis
+  /** The fingerprints of the requests; their identifiers in an older build. */
   3: required list<string> requests
   4: required i64 ageMillis
-  /** Whether a request with the part was answered afterwards. */
+  /** Whether such a request was answered. */
   5: optional bool refuted
 }
 
@@ -143,10 +146,18 @@
   3: required list<UseSighting> sightings
 }
 
-/** The suspected prompt parts of the sender that the receiver lacks. */
+/** The whole content of a request that may crash upstreams. */
+struct UseSuspectContent {
+  1: required string serviceName
+  2: required i64 fingerprint
+  3: required list<UseSighting> sightings
+}
+
+/** The suspects of the sender that the receiver lacks. */
 struct UseSuspects {
   1: required i64 version
   2: optional list<UseSuspect> suspects
+  20: optional list<UseSuspectContent> contents
 }
 
 /** What an upstream last stated about its rate limit; without a rate it has none. */
--- a/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -31,10 +31,11 @@
 import org.magnoliapick.pool.PoolMessage;
 import org.magnoliapick.pool.PoolUse;
 import org.magnoliapick.pool.UpstreamUse;
-import org.magnoliapick.quarantine.PartKey;
 import org.magnoliapick.quarantine.Sighting;
+import org.magnoliapick.quarantine.SuspectKey;
 import org.magnoliapick.quarantine.SuspectReport;
 import org.magnoliapick.quarantine.SuspectUpdate;
+import org.magnoliapick.relay.Fingerprint;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
 
@@ -49,6 +50,7 @@
                 new WorkspaceId("w"),
                 new FailureDomain("a"),
                 new Prompt(100, 20, List.of(new PromptPart("p", 50))),
+                new Fingerprint(-5),
                 300,
                 1_300,
                 true,
@@ -66,8 +68,22 @@
                 new Sighting(new UpstreamId("u"), 12, new TreeSet<>(Set.of("r", "q")), 900, false);
         Sighting refuted =
                 new Sighting(new UpstreamId("v"), 13, new TreeSet<>(Set.of("p")), 800, true);
+        Fingerprint fingerprint = new Fingerprint(-6);
+        Sighting repeated =
+                new Sighting(
+                        new UpstreamId("u"),
+                        12,
+                        new TreeSet<>(Set.of(fingerprint.toString())),
+                        900,
+                        false);
         return new SuspectUpdate(
-                14, List.of(new SuspectReport(new PartKey("s", "part"), List.of(crash, refuted))));
+                14,
+                List.of(
+                        new SuspectReport(
+                                new SuspectKey("s", SuspectKey.Kind.PART, "part"),
+                                List.of(crash, refuted)),
+                        new SuspectReport(
+                                SuspectKey.fingerprint("s", fingerprint), List.of(repeated))));
     }
 
     private static RateLimitUpdate rateLimits() {
