Let an answer at any instance speak for a sound prompt part

Callers saw: in larger fleets requests were refused for a minute because of sound prompt parts.

Cause: an answer shortly before a crash spoke for a part only at the instance that relayed it, and of many instances most relay few answers with a given part. A quarantine began with the third crash, before an instance that had relayed an answer could refute it, and then no request with the part was left to refute it. Of 246 suspects 64 were kept, refuted ones dropped first, so that a late report accused them again.

Change: an instance that hears of a crash and relayed an answer up to 3 s before it, or after it, refutes it and tells the others. A quarantine begins 2 s after the first crash that is not refuted at the earliest; until then the dispatcher sends one request each 500 ms, whose answer refutes it. An update sends first what several crashes accuse.

The case of 87 instances and seed 1 failed before, and so did anAnswerOfAnotherInstanceShortlyBeforeACrashSpeaksForThePart, anAnswerLongBeforeACrashDoesNotSpeakForThePart, sendsTheMostAccusedFirst, beginsAQuarantineOnceOtherInstancesHadTimeToRefuteIt and announcesAQuarantineWhenItBegins.

No test was changed, apart from the new argument for the present time.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
@@ -18,10 +18,11 @@
  *
  * <p>The prompt parts and the fingerprint of a request are suspected if the request had received
  * nothing when its upstream crashed. Any later answer to a request that has the part or fingerprint
- * refutes this. After several crashes without an answer it is quarantined; when the quarantine
- * ends, single requests are sent as probes. What is sound but always occurs together with the
- * poison looks the same, so a request is refused only if it has everything that cannot be told
- * apart. The last part of a prompt is never suspected: it belongs to one request or session.
+ * refutes this, and so does one shortly before the crash. After several crashes without an answer
+ * it is quarantined, as soon as other instances had time to refute it; before that and when the
+ * quarantine ends, single requests are sent as probes. What is sound but always occurs together
+ * with the poison looks the same, so a request is refused only if it has everything that cannot be
+ * told apart. The last part of a prompt is never suspected: it belongs to one request or session.
  *
  * <p>Instances exchange the crashes that they noticed. What is known is a set of crashes that are
  * refuted or not; sets are merged, so the order and repetition of messages do not matter.
@@ -31,8 +32,8 @@
     private static final long MAX_AGE_MILLIS = 600_000;
 
     /**
-     * How long an answer before a crash speaks for a part, in milliseconds: a part of many requests
-     * that are answered all the time is not suspected at each crash.
+     * How long an answer before a crash speaks for a part or fingerprint, in milliseconds: what is
+     * answered all the time is not suspected at each crash.
      */
     private static final long TRUST_MILLIS = 3_000;
 
@@ -55,9 +56,9 @@
     }
 
     /**
-     * Returns the quarantine that a request falls under, as {@link #find}, and after the end of a
-     * quarantine lets a single request pass as a probe. Only the instance that places the request
-     * calls this.
+     * Returns the quarantine that a request falls under, as {@link #find}. Before a quarantine
+     * begins and after its end, lets single requests pass as probes. Only the instance that places
+     * the request calls this.
      */
     public Optional<Quarantine> admit(RequestContent content, long nowMillis) {
         Optional<Quarantine> quarantine = find(content, nowMillis);
@@ -110,7 +111,11 @@
      * @param crashedMillis when the crash was noticed
      */
     public void recordCrash(
-            RequestContent content, UpstreamId upstream, long startedMillis, long crashedMillis) {
+            RequestContent content,
+            UpstreamId upstream,
+            long startedMillis,
+            long crashedMillis,
+            long nowMillis) {
         for (SuspectKey key : SuspectKey.of(content)) {
             Sighting sighting =
                     new Sighting(
@@ -119,8 +124,8 @@
                             new TreeSet<>(Set.of(content.fingerprint().toString())),
                             crashedMillis,
                             false);
-            if (!isAnsweredSince(key, crashedMillis - TRUST_MILLIS)) {
-                add(key, sighting);
+            if (crashedMillis > trustedUntilMillis(key)) {
+                add(key, sighting, nowMillis);
             }
         }
         mSuspects.dropExcess();
@@ -130,7 +135,7 @@
     public void recordAnswer(RequestContent content, long nowMillis) {
         for (SuspectKey key : SuspectKey.of(content)) {
             mAnswers.record(key, nowMillis);
-            mSuspects.find(key).filter(Suspect::refute).ifPresent(this::refuted);
+            refuteTrusted(key);
         }
     }
 
@@ -139,33 +144,34 @@
         addChange(QuarantineChange.Kind.REFUTED, suspect);
     }
 
-    private boolean isAnsweredSince(SuspectKey key, long millis) {
+    /** Returns up to when crashes are refuted by the last answer that this instance relayed. */
+    private long trustedUntilMillis(SuspectKey key) {
         OptionalLong answeredMillis = mAnswers.last(key);
-        return answeredMillis.isPresent() && answeredMillis.getAsLong() >= millis;
+        return answeredMillis.isPresent()
+                ? answeredMillis.getAsLong() + TRUST_MILLIS
+                : Long.MIN_VALUE;
     }
 
     /** Applies what another instance knows; times are of this instance's clock. */
-    public void applyUpdate(SuspectUpdate update) {
+    public void applyUpdate(SuspectUpdate update, long nowMillis) {
         for (SuspectReport report : update.suspects()) {
             for (Sighting each : report.sightings()) {
-                add(report.key(), each);
+                add(report.key(), each, nowMillis);
             }
-            refuteIfAnswered(report.key());
+            refuteTrusted(report.key());
         }
         mSuspects.dropExcess();
     }
 
-    /** Refutes crashes that were reported here only after an answer. */
-    private void refuteIfAnswered(SuspectKey key) {
+    /** Refutes crashes before an answer and shortly after it, whoever reported them. */
+    private void refuteTrusted(SuspectKey key) {
         mSuspects
                 .find(key)
-                .filter(each -> !each.unrefuted().isEmpty())
-                .filter(each -> isAnsweredSince(key, each.lastMillis()))
-                .filter(Suspect::refute)
+                .filter(each -> each.refuteUntil(trustedUntilMillis(key)))
                 .ifPresent(this::refuted);
     }
 
-    private void add(SuspectKey key, Sighting sighting) {
+    private void add(SuspectKey key, Sighting sighting, long nowMillis) {
         Suspect suspect = mSuspects.getOrAdd(key);
         int crashesBefore = suspect.crashes();
         int sightingsBefore = suspect.unrefuted().size();
@@ -176,14 +182,25 @@
         if (suspect.unrefuted().size() > sightingsBefore) {
             addChange(QuarantineChange.Kind.SUSPECTED, suspect);
         }
-        if (suspect.isPoison() && (!suspect.isAnnounced() || suspect.crashes() > crashesBefore)) {
-            suspect.announced();
-            addChange(QuarantineChange.Kind.QUARANTINED, suspect);
+        if (suspect.isQuarantined(nowMillis)
+                && (!suspect.isAnnounced() || suspect.crashes() > crashesBefore)) {
+            announce(suspect);
         }
     }
 
-    /** Forgets crashes that are too old. */
+    private void announce(Suspect suspect) {
+        suspect.announced();
+        addChange(QuarantineChange.Kind.QUARANTINED, suspect);
+    }
+
+    /** Begins quarantines that were not refuted in time and forgets crashes that are too old. */
     public void tick(long nowMillis) {
+        for (Suspect suspect : mSuspects.all()) {
+            if (!suspect.isAnnounced() && suspect.isQuarantined(nowMillis)) {
+                mSuspects.quarantineBegun();
+                announce(suspect);
+            }
+        }
         mSuspects.removeIf(
                 suspect -> {
                     suspect.dropUntil(nowMillis - MAX_AGE_MILLIS);
--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/QuarantineChange.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/QuarantineChange.java
@@ -21,7 +21,7 @@
         QUARANTINED,
         /** A request that has it was answered; it is no longer suspected. */
         REFUTED,
-        /** The quarantine has ended and one request is sent as a test. */
+        /** The quarantine has not begun or has ended, and one request is sent as a test. */
         PROBED,
         /** The evidence is too old. */
         FORGOTTEN
--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Suspect.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Suspect.java
@@ -13,6 +13,13 @@
     /** The number of crashes without an answer after which requests are refused. */
     private static final int MIN_CRASHES = 3;
 
+    /**
+     * How long after the first of these crashes a quarantine begins at the earliest, in
+     * milliseconds: an instance that relayed an answer has learned of the suspicion by then, and
+     * its refutation has come back.
+     */
+    private static final long CONFIRM_MILLIS = 2_000;
+
     /** The duration of a quarantine, which doubles with each further crash, in milliseconds. */
     private static final long BASE_MILLIS = 60_000;
 
@@ -22,6 +29,9 @@
     /** The time from a probe until the next one, in milliseconds. */
     private static final long PROBE_MILLIS = 10_000;
 
+    /** The same before a quarantine begins: an answer then refutes it before it holds back much. */
+    private static final long EARLY_PROBE_MILLIS = 500;
+
     /**
      * The time of an event that has not happened. It is half the minimum, so that the time since it
      * does not overflow.
@@ -40,6 +50,7 @@
     private final SuspectKey mKey;
     private final List<Sighting> mSightings = new ArrayList<>();
     private boolean mQuarantined;
+
     private long mProbeEndMillis = NEVER;
 
     Suspect(SuspectKey key) {
@@ -74,11 +85,17 @@
         return true;
     }
 
-    /** Refutes all known crashes; returns whether any was not refuted. */
-    boolean refute() {
-        boolean changed = mSightings.stream().anyMatch(each -> !each.refuted());
-        mSightings.replaceAll(Sighting::asRefuted);
-        mQuarantined &= !changed;
+    /** Refutes all known crashes up to a time; returns whether any was not refuted. */
+    boolean refuteUntil(long millis) {
+        boolean changed = false;
+        for (int i = 0; i < mSightings.size(); i++) {
+            Sighting each = mSightings.get(i);
+            if (!each.refuted() && each.atMillis() <= millis) {
+                mSightings.set(i, each.asRefuted());
+                changed = true;
+            }
+        }
+        mQuarantined &= isPoison();
         return changed;
     }
 
@@ -128,7 +145,10 @@
 
     /** Returns whether the crashes are enough for a quarantine, which may have ended since. */
     boolean isPoison() {
-        return crashes() >= MIN_CRASHES && requests().size() >= mKey.kind().minRequests();
+        // Most suspects have a single crash; this is asked for all of them at each tick.
+        return mSightings.size() >= MIN_CRASHES
+                && crashes() >= MIN_CRASHES
+                && requests().size() >= mKey.kind().minRequests();
     }
 
     /** Returns when the quarantine ends; in the past if there is none. */
@@ -140,8 +160,12 @@
         return lastMillis() + Math.min(MAX_MILLIS, BASE_MILLIS << doublings);
     }
 
+    private long beginMillis() {
+        return unrefuted().get(0).atMillis() + CONFIRM_MILLIS;
+    }
+
     boolean isQuarantined(long nowMillis) {
-        return nowMillis < endMillis();
+        return isPoison() && nowMillis >= beginMillis() && nowMillis < endMillis();
     }
 
     Quarantine quarantine() {
@@ -153,6 +177,11 @@
         return mQuarantined;
     }
 
+    /** Returns the number of crashes, whether they are refuted or not. */
+    int sightingCount() {
+        return mSightings.size();
+    }
+
     void announced() {
         mQuarantined = true;
     }
@@ -165,7 +194,8 @@
     }
 
     void probed(long nowMillis) {
-        mProbeEndMillis = nowMillis + PROBE_MILLIS;
+        mProbeEndMillis =
+                nowMillis + (nowMillis < beginMillis() ? EARLY_PROBE_MILLIS : PROBE_MILLIS);
     }
 
     /**
--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * The suspects that an instance knows, with the version at which each changed last. Each kind is
@@ -19,6 +20,9 @@
     /** The maximum number of suspects in one update. */
     private static final int MAX_REPORTS = 16;
 
+    /** The number of these that may be sent before others that changed earlier. */
+    private static final int MAX_URGENT_REPORTS = 4;
+
     private final Map<SuspectKey, Suspect> mSuspects = new HashMap<>();
     private final Map<SuspectKey, Long> mVersions = new HashMap<>();
     private long mVersion;
@@ -49,9 +53,15 @@
         mVersions.put(suspect.key(), ++mVersion);
     }
 
+    /** Records that what is known has another meaning now, although nothing has to be sent. */
+    void quarantineBegun() {
+        mVersion++;
+    }
+
     void removeIf(Predicate<Suspect> condition) {
-        mSuspects.values().removeIf(condition);
-        mVersions.keySet().retainAll(mSuspects.keySet());
+        if (mSuspects.values().removeIf(condition)) {
+            mVersions.keySet().retainAll(mSuspects.keySet());
+        }
     }
 
     /** Drops suspects beyond the bound: those with the fewest crashes, the oldest first. */
@@ -84,17 +94,31 @@
                 mSuspects.values().stream()
                         .filter(each -> versionOf(each) > known)
                         .sorted(Comparator.comparingLong(this::versionOf))
-                        .limit(MAX_REPORTS)
                         .toList();
-        boolean all = changed.size() < MAX_REPORTS;
+        List<Suspect> urgent = urgent(changed);
+        int inOrder = Math.min(changed.size(), MAX_REPORTS - urgent.size());
+        boolean all = inOrder == changed.size();
         return Optional.of(
                 new SuspectUpdate(
-                        all ? mVersion : versionOf(changed.get(MAX_REPORTS - 1)),
-                        changed.stream()
+                        all ? mVersion : versionOf(changed.get(inOrder - 1)),
+                        Stream.concat(changed.stream().limit(inOrder), urgent.stream())
                                 .map(each -> new SuspectReport(each.key(), each.sightings()))
                                 .toList()));
     }
 
+    /**
+     * Returns suspects of several crashes that would have to wait for a later update. They are sent
+     * again by that one.
+     */
+    private static List<Suspect> urgent(List<Suspect> changed) {
+        return changed.stream()
+                .skip(MAX_REPORTS)
+                .filter(each -> each.sightingCount() > 1)
+                .sorted(Comparator.comparingInt(Suspect::sightingCount).reversed())
+                .limit(MAX_URGENT_REPORTS)
+                .toList();
+    }
+
     private long versionOf(Suspect suspect) {
         return mVersions.getOrDefault(suspect.key(), 0L);
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
@@ -269,7 +269,7 @@
             if (mRandom.nextInt(10) == 0) {
                 return;
             }
-            mKnowledge.sendTo(to.mKnowledge, mId.value());
+            mKnowledge.sendTo(to.mKnowledge, mId.value(), mTime.nowMillis());
             if (to.cellDispatcher() == to) {
                 PoolUse use =
                         cellDispatcher() == this
@@ -492,7 +492,8 @@
                                             mRequest.content(),
                                             upstream.id(),
                                             upstream.startedMillis(),
-                                            crashedMillis));
+                                            crashedMillis,
+                                            mTime.nowMillis()));
         }
     }
 }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
@@ -30,12 +30,12 @@
     }
 
     /** Sends what another instance lacks. */
-    void sendTo(FakeKnowledge to, String name) {
+    void sendTo(FakeKnowledge to, String name, long nowMillis) {
         mQuarantine
                 .updateFor(to.mReceivedSuspects.getOrDefault(this, 0L))
                 .ifPresent(
                         update -> {
-                            to.mQuarantine.applyUpdate(update);
+                            to.mQuarantine.applyUpdate(update, nowMillis);
                             to.mReceivedSuspects.put(this, update.version());
                         });
         mRateLimits
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoisonRequestTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoisonRequestTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a request that crashes one engine after the other, at any instance. */
@@ -67,6 +68,47 @@
         assertThat(sentAfterBound(fleet, "bad")).isLessThanOrEqualTo(MAX_SENT_AFTER_BOUND);
     }
 
+    /** In a large fleet each instance relays few of the answers that speak for a sound part. */
+    @ParameterizedTest
+    @CsvSource({"87, 1", "87, 2", "300, 1"})
+    void servesSoundPartsWhileManyEnginesOfALargeFleetCrash(int instances, long seed) {
+        FakeFleet fleet = new FakeFleet(instances, 100, 48, seed);
+        fleet.poison("bad");
+        sendLargeLoad(fleet, 12_000, "bad");
+        for (long millis = 1_000; millis < 12_000; millis += 50) {
+            fleet.at(millis, fleet::crashAnyEngine);
+        }
+        fleet.runUntil(14_000);
+        long refusedSound =
+                mSound.stream()
+                        .filter(each -> each.refusal().equals(Optional.of(PoolCause.QUARANTINED)))
+                        .count();
+        assertThat(refusedSound).isLessThan(mSound.size() / 50);
+        assertThat(sentAfterBound(fleet, "bad")).isLessThanOrEqualTo(MAX_SENT_AFTER_BOUND);
+    }
+
+    /**
+     * Sends 200 sound requests per second with one of 100 parts, some of them rare, and two with a
+     * poison part and one of ten sound parts, to all instances.
+     */
+    private void sendLargeLoad(FakeFleet fleet, long untilMillis, String poison) {
+        for (long millis = 0; millis < untilMillis; millis += 5) {
+            long number = millis / 5;
+            fleet.at(
+                    millis,
+                    () -> {
+                        int instance = fleet.random().nextInt(fleet.instanceCount());
+                        int part = (int) (100 * Math.pow(fleet.random().nextDouble(), 2));
+                        mSound.add(fleet.send(instance, "first", "part-" + part));
+                        if (number % 100 == 0) {
+                            instance = fleet.random().nextInt(fleet.instanceCount());
+                            part = 90 + fleet.random().nextInt(10);
+                            mPoisoned.add(fleet.send(instance, "first", "part-" + part, poison));
+                        }
+                    });
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21})
     void quarantinesNothingWhenAllEnginesCrashTogether(long seed) {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -44,7 +44,8 @@
             String request,
             long millis,
             String... parts) {
-        quarantine.recordCrash(content(request, parts), new UpstreamId("u" + upstream), 1, millis);
+        quarantine.recordCrash(
+                content(request, parts), new UpstreamId("u" + upstream), 1, millis, millis);
     }
 
     private void crash(String request, long millis, String... parts) {
@@ -105,7 +106,7 @@
     void doesNotSuspectThePartOfItsOwnAtTheEnd() {
         for (int i = 0; i < 5; i++) {
             mQuarantine.recordCrash(
-                    content("request-" + i), new UpstreamId("u" + i), 1, 1_000L * i);
+                    content("request-" + i), new UpstreamId("u" + i), 1, 1_000L * i, 1_000L * i);
         }
         assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.PART)).isZero();
     }
@@ -337,6 +338,111 @@
         assertThat(other.suspectedCount(SuspectKey.Kind.PART)).isZero();
     }
 
+    /** Most instances of a large fleet relayed no request with the part shortly before. */
+    @Test
+    void anAnswerOfAnotherInstanceShortlyBeforeACrashSpeaksForThePart() {
+        PromptQuarantine other = new PromptQuarantine();
+        other.recordAnswer(other("part"), 900);
+        crash("1", 1_000, "part");
+        send(mQuarantine, other, 0);
+        assertThat(other.suspectedCount(SuspectKey.Kind.PART)).isZero();
+        send(other, mQuarantine, 0);
+        assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.PART)).isZero();
+    }
+
+    @Test
+    void anAnswerLongBeforeACrashDoesNotSpeakForThePart() {
+        PromptQuarantine other = new PromptQuarantine();
+        other.recordAnswer(other("part"), 900);
+        crash("1", 1_000, "part");
+        crash("2", 5_000, "part");
+        send(mQuarantine, other, 0);
+        assertThat(other.takeChanges())
+                .filteredOn(each -> each.kind() == Kind.REFUTED)
+                .extracting(QuarantineChange::crashes)
+                .containsExactly(1);
+    }
+
+    /** So many requests were lost in one crash that not all that were refuted were kept. */
+    @Test
+    void keepsRefutationsOfManySuspects() {
+        PromptQuarantine other = new PromptQuarantine();
+        for (int i = 0; i < 300; i++) {
+            crash("request-" + i, 1_000, "part-" + i);
+            other.recordAnswer(other("part-" + i), 1_200);
+        }
+        exchange(mQuarantine, other);
+        assertThat(other.suspectedCount(SuspectKey.Kind.PART)).isZero();
+        exchange(other, mQuarantine);
+        assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.PART)).isZero();
+    }
+
+    private static void exchange(PromptQuarantine from, PromptQuarantine to) {
+        long version = 0;
+        while (from.updateFor(version).isPresent()) {
+            version = send(from, to, version);
+        }
+    }
+
+    /** An answer elsewhere may be under way while the third crash is reported. */
+    @Test
+    void beginsAQuarantineOnceOtherInstancesHadTimeToRefuteIt() {
+        crash("1", 1_000, "part");
+        crash("2", 1_300, "part");
+        crash("3", 1_600, "part");
+        assertThat(isRefused(1_600, "part")).isFalse();
+        PromptQuarantine other = new PromptQuarantine();
+        other.recordAnswer(other("part"), 1_700);
+        send(mQuarantine, other, 0);
+        send(other, mQuarantine, 0);
+        assertThat(isRefused(5_000, "part")).isFalse();
+    }
+
+    @Test
+    void sendsSingleProbesUntilAQuarantineBegins() {
+        crash("1", 1_000, "part");
+        crash("2", 1_300, "part");
+        crash("3", 1_600, "part");
+        assertThat(mQuarantine.admit(other("part"), 1_700)).isEmpty();
+        assertThat(mQuarantine.admit(other("part"), 1_800).map(Quarantine::endMillis))
+                .contains(2_200L);
+        assertThat(mQuarantine.admit(other("part"), 2_200)).isEmpty();
+        assertThat(mQuarantine.admit(other("part"), 2_300)).isPresent();
+        mQuarantine.recordAnswer(other("part"), 2_400);
+        assertThat(mQuarantine.admit(other("part"), 2_400)).isEmpty();
+        assertThat(mQuarantine.admit(other("part"), 2_401)).isEmpty();
+    }
+
+    @Test
+    void announcesAQuarantineWhenItBegins() {
+        crash("1", 1_000, "part");
+        crash("2", 1_300, "part");
+        crash("3", 1_600, "part");
+        mQuarantine.takeChanges();
+        long version = mQuarantine.version();
+        mQuarantine.tick(2_999);
+        assertThat(mQuarantine.takeChanges()).isEmpty();
+        mQuarantine.tick(3_000);
+        assertThat(isRefused(3_000, "part")).isTrue();
+        assertThat(mQuarantine.takeChanges())
+                .extracting(QuarantineChange::kind)
+                .containsExactly(Kind.QUARANTINED);
+        assertThat(mQuarantine.version()).isGreaterThan(version);
+    }
+
+    @Test
+    void sendsTheMostAccusedFirst() {
+        crash("1", 1_000, "bad");
+        for (int i = 0; i < 100; i++) {
+            crash("request", 1_000, "part-" + i);
+        }
+        crash("2", 2_000, "bad");
+        SuspectUpdate update = mQuarantine.updateFor(0).orElseThrow();
+        assertThat(update.suspects())
+                .extracting(SuspectReport::key)
+                .contains(new SuspectKey("s", SuspectKey.Kind.PART, "bad"));
+    }
+
     @Test
     void sendsManyPartsInSeveralUpdates() {
         for (int i = 0; i < 40; i++) {
@@ -365,7 +471,7 @@
     /** Sends what the receiver lacks; returns the version that it knows then. */
     private static long send(PromptQuarantine from, PromptQuarantine to, long knownVersion) {
         SuspectUpdate update = from.updateFor(knownVersion).orElseThrow();
-        to.applyUpdate(update);
+        to.applyUpdate(update, 3_000);
         return update.version();
     }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -385,7 +385,7 @@
         packet.suspects()
                 .ifPresent(
                         update -> {
-                            mQuarantine.applyUpdate(update);
+                            mQuarantine.applyUpdate(update, nowMillis);
                             mTable.suspectsReceived(packet.address(), update.version());
                         });
         packet.rateLimits()
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/QuarantineMonitor.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/QuarantineMonitor.java
@@ -57,7 +57,11 @@
     private void recordCrash(Lost lost, ListedUpstream upstream) {
         mContext.quarantine()
                 .recordCrash(
-                        lost.content(), upstream.id(), upstream.startedMillis(), lost.atMillis());
+                        lost.content(),
+                        upstream.id(),
+                        upstream.startedMillis(),
+                        lost.atMillis(),
+                        mContext.nowMillis());
     }
 
     /** Forgets old crashes and logs all changes; returns whether a quarantine has begun. */
