--- /dev/null
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
@@ -0,0 +1,125 @@
+package org.magnoliapick.quarantine;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+/**
+ * The suspects that an instance knows, with the version at which each changed last. Each kind is
+ * bounded for itself, so that many fingerprints do not crowd out the parts.
+ */
+final class SuspectTable {
+    /** The maximum number of suspects of one kind. */
+    private static final int MAX_SUSPECTS = 1_024;
+
+    /** The maximum number of suspects in one update. */
+    private static final int MAX_REPORTS = 16;
+
+    /** The number of these that may be sent before others that changed earlier. */
+    private static final int MAX_URGENT_REPORTS = 4;
+
+    private final Map<SuspectKey, Suspect> mSuspects = new HashMap<>();
+    private final Map<SuspectKey, Long> mVersions = new HashMap<>();
+    private long mVersion;
+
+    boolean isEmpty() {
+        return mSuspects.isEmpty();
+    }
+
+    Optional<Suspect> find(SuspectKey key) {
+        return Optional.ofNullable(mSuspects.get(key));
+    }
+
+    Suspect getOrAdd(SuspectKey key) {
+        return mSuspects.computeIfAbsent(key, Suspect::new);
+    }
+
+    Collection<Suspect> all() {
+        return mSuspects.values();
+    }
+
+    /** Returns a number that grows with each change. */
+    long version() {
+        return mVersion;
+    }
+
+    /** Records that a suspect has changed. */
+    void changed(Suspect suspect) {
+        mVersions.put(suspect.key(), ++mVersion);
+    }
+
+    /** Records that what is known has another meaning now, although nothing has to be sent. */
+    void quarantineBegun() {
+        mVersion++;
+    }
+
+    void removeIf(Predicate<Suspect> condition) {
+        if (mSuspects.values().removeIf(condition)) {
+            mVersions.keySet().retainAll(mSuspects.keySet());
+        }
+    }
+
+    /** Drops suspects beyond the bound: those with the fewest crashes, the oldest first. */
+    void dropExcess() {
+        for (SuspectKey.Kind kind : SuspectKey.Kind.values()) {
+            List<Suspect> ofKind =
+                    mSuspects.values().stream().filter(each -> each.key().kind() == kind).toList();
+            ofKind.stream()
+                    .sorted(
+                            Comparator.comparingInt(Suspect::crashes)
+                                    .thenComparingLong(Suspect::lastSightingMillis))
+                    .limit(Math.max(0, ofKind.size() - MAX_SUSPECTS))
+                    .forEach(this::remove);
+        }
+    }
+
+    private void remove(Suspect suspect) {
+        mSuspects.remove(suspect.key());
+        mVersions.remove(suspect.key());
+    }
+
+    /** Returns what changed since a version; empty if nothing did. */
+    Optional<SuspectUpdate> updateFor(long knownVersion) {
+        // A version above the own one is of an earlier incarnation of this instance.
+        long known = knownVersion > mVersion ? 0 : knownVersion;
+        if (known == mVersion) {
+            return Optional.empty();
+        }
+        List<Suspect> changed =
+                mSuspects.values().stream()
+                        .filter(each -> versionOf(each) > known)
+                        .sorted(Comparator.comparingLong(this::versionOf))
+                        .toList();
+        List<Suspect> urgent = urgent(changed);
+        int inOrder = Math.min(changed.size(), MAX_REPORTS - urgent.size());
+        boolean all = inOrder == changed.size();
+        return Optional.of(
+                new SuspectUpdate(
+                        all ? mVersion : versionOf(changed.get(inOrder - 1)),
+                        Stream.concat(changed.stream().limit(inOrder), urgent.stream())
+                                .map(each -> new SuspectReport(each.key(), each.sightings()))
+                                .toList()));
+    }
+
+    /**
+     * Returns suspects of several crashes that would have to wait for a later update. They are sent
+     * again by that one.
+     */
+    private static List<Suspect> urgent(List<Suspect> changed) {
+        return changed.stream()
+                .skip(MAX_REPORTS)
+                .filter(each -> each.sightingCount() > 1)
+                .sorted(Comparator.comparingInt(Suspect::sightingCount).reversed())
+                .limit(MAX_URGENT_REPORTS)
+                .toList();
+    }
+
+    private long versionOf(Suspect suspect) {
+        return mVersions.getOrDefault(suspect.key(), 0L);
+    }
+}
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
@@ -64,7 +64,7 @@
         mInstances.forEach(Instance::exchange);
     }
 
-    /** Makes engines crash that begin to answer a request with a part. */
+    /** Makes engines crash that begin to answer a request with a part, also one of its own. */
     void poison(String part) {
         mPoison.add(part);
     }
@@ -98,7 +98,17 @@
 
     /** Sends a request whose prompt has these parts and one of its own to an instance. */
     Request send(int instance, String... parts) {
-        Request request = new Request(mInstances.get(instance), ++mLastNumber, List.of(parts));
+        long number = ++mLastNumber;
+        return send(instance, number, number, parts);
+    }
+
+    /** Sends a request that repeats the content of all others with the same number. */
+    Request sendRepetition(int instance, long content, String... parts) {
+        return send(instance, ++mLastNumber, content, parts);
+    }
+
+    private Request send(int instance, long number, long content, String... parts) {
+        Request request = new Request(mInstances.get(instance), number, content, List.of(parts));
         request.submit();
         return request;
     }
@@ -140,9 +150,9 @@
         return List.copyOf(mEngines.values()).get(number);
     }
 
-    /** Returns the number of parts that an instance has in quarantine. */
+    /** Returns the number of parts or fingerprints that an instance has in quarantine. */
     long quarantinedCount(int instance) {
-        return mInstances.get(instance).mKnowledge.quarantine().quarantinedCount(mTime.nowMillis());
+        return mInstances.get(instance).mKnowledge.quarantinedCount(mTime.nowMillis());
     }
 
     /** Lets requests with a part pass again without harm. */
@@ -335,9 +345,9 @@
         private boolean mAnswered;
         private Optional<PoolCause> mRefusal = Optional.empty();
 
-        private Request(Instance instance, long number, List<String> parts) {
+        private Request(Instance instance, long number, long content, List<String> parts) {
             mInstance = instance;
-            mRequest = Jobs.request(number, parts, mTime.nowMillis());
+            mRequest = Jobs.request(number, content, parts, mTime.nowMillis());
             mAttempts = new RelayAttempts(mRequest);
         }
 
@@ -492,7 +502,9 @@
         private void recordCrash(ListedUpstream upstream, long crashedMillis) {
             mTime.after(
                     CONFIRM_MILLIS,
-                    () -> mInstance.mKnowledge.recordCrash(mRequest, upstream, crashedMillis));
+                    () ->
+                            mInstance.mKnowledge.recordCrash(
+                                    mRequest, upstream, crashedMillis, mTime.nowMillis()));
         }
     }
 }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeKnowledge.java
@@ -2,11 +2,13 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.limit.RateLimit;
 import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.quarantine.PromptQuarantine;
+import org.magnoliapick.quarantine.SuspectKey;
 import org.magnoliapick.relay.RelayRequest;
 
 /** What an instance of a fleet in virtual time learns from others, and up to which version. */
@@ -68,26 +70,33 @@
                         upstream.id(), upstream.startedMillis(), engine.rateLimit(), nowMillis),
                 request.id(),
                 sentMillis);
-        mQuarantine.recordAnswer("s", request.prompt(), nowMillis);
+        mQuarantine.recordAnswer(request.content(), nowMillis);
         return engine.isLeaving() && mLeaving.record(upstream, request.id(), nowMillis);
     }
 
-    void recordCrash(RelayRequest request, ListedUpstream upstream, long crashedMillis) {
+    void recordCrash(
+            RelayRequest request, ListedUpstream upstream, long crashedMillis, long nowMillis) {
         mQuarantine.recordCrash(
-                "s",
-                request.prompt(),
-                request.id(),
+                request.content(),
                 upstream.id(),
                 upstream.startedMillis(),
-                crashedMillis);
+                crashedMillis,
+                nowMillis);
     }
 
     boolean isQuarantined(RelayRequest request, long nowMillis) {
-        return mQuarantine.find("s", request.prompt(), nowMillis).isPresent();
+        return mQuarantine.find(request.content(), nowMillis).isPresent();
     }
 
     boolean mayRetry(RelayRequest request) {
-        return mQuarantine.mayRetry("s", request.prompt(), request.id());
+        return mQuarantine.mayRetry(request.content());
+    }
+
+    /** Returns the number of parts and fingerprints that are quarantined. */
+    long quarantinedCount(long nowMillis) {
+        return Stream.of(SuspectKey.Kind.values())
+                .mapToLong(kind -> mQuarantine.quarantinedCount(kind, nowMillis))
+                .sum();
     }
 
     /** Sends what another instance lacks. */
@@ -102,7 +111,7 @@
                 .updateFor(to.mReceivedSuspects.getOrDefault(this, 0L))
                 .ifPresent(
                         update -> {
-                            to.mQuarantine.applyUpdate(update);
+                            to.mQuarantine.applyUpdate(update, nowMillis);
                             to.mReceivedSuspects.put(this, update.version());
                         });
         mRateLimits
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -133,7 +133,7 @@
         } else if (config.isEmpty() || !acceptsRequests()) {
             relay.reject(ErrorKind.NOT_READY, OptionalLong.of(NOT_READY_RETRY_AFTER_MILLIS));
         } else {
-            routeRequest(relay, head, parsedHead.get(), config.get(), arrivedMillis);
+            routeRequest(relay, head, body, parsedHead.get(), config.get(), arrivedMillis);
         }
     }
 
@@ -145,6 +145,7 @@
     private void routeRequest(
             Relay relay,
             HttpRequest head,
+            ByteBuf body,
             RequestHead parsedHead,
             TrafficConfig config,
             long arrivedMillis) {
@@ -171,6 +172,7 @@
                         service.get(),
                         id,
                         parsedHead.prompt(),
+                        RequestHash.of(head, id, parsedHead.prompt(), body),
                         parsedHead.resumeAfter(),
                         arrivedMillis,
                         arrivedMillis
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -75,7 +75,7 @@
         }
         if (!mRelay.mayBeSent(mUpstream)) {
             mEnded = true;
-            returnConnection(connection);
+            mRelay.connections().release(mUpstream, connection, mContext.nowMillis());
             mRelay.placeAgain();
             return;
         }
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseLeaving.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UseLeaving.java
@@ -428,14 +428,14 @@
           case 2: // UPSTREAMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list96 = iprot.readListBegin();
-                struct.upstreams = new java.util.ArrayList<UseLeavingUpstream>(_list96.size);
-                @org.apache.thrift.annotation.Nullable UseLeavingUpstream _elem97;
-                for (int _i98 = 0; _i98 < _list96.size; ++_i98)
+                org.apache.thrift.protocol.TList _list112 = iprot.readListBegin();
+                struct.upstreams = new java.util.ArrayList<UseLeavingUpstream>(_list112.size);
+                @org.apache.thrift.annotation.Nullable UseLeavingUpstream _elem113;
+                for (int _i114 = 0; _i114 < _list112.size; ++_i114)
                 {
-                  _elem97 = new UseLeavingUpstream();
-                  _elem97.read(iprot);
-                  struct.upstreams.add(_elem97);
+                  _elem113 = new UseLeavingUpstream();
+                  _elem113.read(iprot);
+                  struct.upstreams.add(_elem113);
                 }
                 iprot.readListEnd();
               }
@@ -471,9 +471,9 @@
           oprot.writeFieldBegin(UPSTREAMS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.upstreams.size()));
-            for (UseLeavingUpstream _iter99 : struct.upstreams)
+            for (UseLeavingUpstream _iter115 : struct.upstreams)
             {
-              _iter99.write(oprot);
+              _iter115.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -507,9 +507,9 @@
       if (struct.isSetUpstreams()) {
         {
           oprot.writeI32(struct.upstreams.size());
-          for (UseLeavingUpstream _iter100 : struct.upstreams)
+          for (UseLeavingUpstream _iter116 : struct.upstreams)
           {
-            _iter100.write(oprot);
+            _iter116.write(oprot);
           }
         }
       }
@@ -523,14 +523,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.upstreams = new java.util.ArrayList<UseLeavingUpstream>(_list101.size);
-          @org.apache.thrift.annotation.Nullable UseLeavingUpstream _elem102;
-          for (int _i103 = 0; _i103 < _list101.size; ++_i103)
+          org.apache.thrift.protocol.TList _list117 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.upstreams = new java.util.ArrayList<UseLeavingUpstream>(_list117.size);
+          @org.apache.thrift.annotation.Nullable UseLeavingUpstream _elem118;
+          for (int _i119 = 0; _i119 < _list117.size; ++_i119)
           {
-            _elem102 = new UseLeavingUpstream();
-            _elem102.read(iprot);
-            struct.upstreams.add(_elem102);
+            _elem118 = new UseLeavingUpstream();
+            _elem118.read(iprot);
+            struct.upstreams.add(_elem118);
           }
         }
         struct.setUpstreamsIsSet(true);
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePacket.java
@@ -1347,15 +1347,15 @@
           case 4: // GRANTS_TAKEN
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map112 = iprot.readMapBegin();
-                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map112.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key113;
-                long _val114;
-                for (int _i115 = 0; _i115 < _map112.size; ++_i115)
+                org.apache.thrift.protocol.TMap _map128 = iprot.readMapBegin();
+                struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map128.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key129;
+                long _val130;
+                for (int _i131 = 0; _i131 < _map128.size; ++_i131)
                 {
-                  _key113 = iprot.readString();
-                  _val114 = iprot.readI64();
-                  struct.grantsTaken.put(_key113, _val114);
+                  _key129 = iprot.readString();
+                  _val130 = iprot.readI64();
+                  struct.grantsTaken.put(_key129, _val130);
                 }
                 iprot.readMapEnd();
               }
@@ -1367,14 +1367,14 @@
           case 5: // ASKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list116 = iprot.readListBegin();
-                struct.asks = new java.util.ArrayList<UseAsk>(_list116.size);
-                @org.apache.thrift.annotation.Nullable UseAsk _elem117;
-                for (int _i118 = 0; _i118 < _list116.size; ++_i118)
+                org.apache.thrift.protocol.TList _list132 = iprot.readListBegin();
+                struct.asks = new java.util.ArrayList<UseAsk>(_list132.size);
+                @org.apache.thrift.annotation.Nullable UseAsk _elem133;
+                for (int _i134 = 0; _i134 < _list132.size; ++_i134)
                 {
-                  _elem117 = new UseAsk();
-                  _elem117.read(iprot);
-                  struct.asks.add(_elem117);
+                  _elem133 = new UseAsk();
+                  _elem133.read(iprot);
+                  struct.asks.add(_elem133);
                 }
                 iprot.readListEnd();
               }
@@ -1386,14 +1386,14 @@
           case 6: // DECISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list119 = iprot.readListBegin();
-                struct.decisions = new java.util.ArrayList<UseDecision>(_list119.size);
-                @org.apache.thrift.annotation.Nullable UseDecision _elem120;
-                for (int _i121 = 0; _i121 < _list119.size; ++_i121)
+                org.apache.thrift.protocol.TList _list135 = iprot.readListBegin();
+                struct.decisions = new java.util.ArrayList<UseDecision>(_list135.size);
+                @org.apache.thrift.annotation.Nullable UseDecision _elem136;
+                for (int _i137 = 0; _i137 < _list135.size; ++_i137)
                 {
-                  _elem120 = new UseDecision();
-                  _elem120.read(iprot);
-                  struct.decisions.add(_elem120);
+                  _elem136 = new UseDecision();
+                  _elem136.read(iprot);
+                  struct.decisions.add(_elem136);
                 }
                 iprot.readListEnd();
               }
@@ -1405,14 +1405,14 @@
           case 7: // WITHDRAWALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list122 = iprot.readListBegin();
-                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list122.size);
-                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem123;
-                for (int _i124 = 0; _i124 < _list122.size; ++_i124)
+                org.apache.thrift.protocol.TList _list138 = iprot.readListBegin();
+                struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list138.size);
+                @org.apache.thrift.annotation.Nullable UseWithdrawal _elem139;
+                for (int _i140 = 0; _i140 < _list138.size; ++_i140)
                 {
-                  _elem123 = new UseWithdrawal();
-                  _elem123.read(iprot);
-                  struct.withdrawals.add(_elem123);
+                  _elem139 = new UseWithdrawal();
+                  _elem139.read(iprot);
+                  struct.withdrawals.add(_elem139);
                 }
                 iprot.readListEnd();
               }
@@ -1504,10 +1504,10 @@
           oprot.writeFieldBegin(GRANTS_TAKEN_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.grantsTaken.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter125 : struct.grantsTaken.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter141 : struct.grantsTaken.entrySet())
             {
-              oprot.writeString(_iter125.getKey());
-              oprot.writeI64(_iter125.getValue());
+              oprot.writeString(_iter141.getKey());
+              oprot.writeI64(_iter141.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1519,9 +1519,9 @@
           oprot.writeFieldBegin(ASKS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.asks.size()));
-            for (UseAsk _iter126 : struct.asks)
+            for (UseAsk _iter142 : struct.asks)
             {
-              _iter126.write(oprot);
+              _iter142.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1533,9 +1533,9 @@
           oprot.writeFieldBegin(DECISIONS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.decisions.size()));
-            for (UseDecision _iter127 : struct.decisions)
+            for (UseDecision _iter143 : struct.decisions)
             {
-              _iter127.write(oprot);
+              _iter143.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1547,9 +1547,9 @@
           oprot.writeFieldBegin(WITHDRAWALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.withdrawals.size()));
-            for (UseWithdrawal _iter128 : struct.withdrawals)
+            for (UseWithdrawal _iter144 : struct.withdrawals)
             {
-              _iter128.write(oprot);
+              _iter144.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1649,37 +1649,37 @@
       if (struct.isSetGrantsTaken()) {
         {
           oprot.writeI32(struct.grantsTaken.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter129 : struct.grantsTaken.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter145 : struct.grantsTaken.entrySet())
           {
-            oprot.writeString(_iter129.getKey());
-            oprot.writeI64(_iter129.getValue());
+            oprot.writeString(_iter145.getKey());
+            oprot.writeI64(_iter145.getValue());
           }
         }
       }
       if (struct.isSetAsks()) {
         {
           oprot.writeI32(struct.asks.size());
-          for (UseAsk _iter130 : struct.asks)
+          for (UseAsk _iter146 : struct.asks)
           {
-            _iter130.write(oprot);
+            _iter146.write(oprot);
           }
         }
       }
       if (struct.isSetDecisions()) {
         {
           oprot.writeI32(struct.decisions.size());
-          for (UseDecision _iter131 : struct.decisions)
+          for (UseDecision _iter147 : struct.decisions)
           {
-            _iter131.write(oprot);
+            _iter147.write(oprot);
           }
         }
       }
       if (struct.isSetWithdrawals()) {
         {
           oprot.writeI32(struct.withdrawals.size());
-          for (UseWithdrawal _iter132 : struct.withdrawals)
+          for (UseWithdrawal _iter148 : struct.withdrawals)
           {
-            _iter132.write(oprot);
+            _iter148.write(oprot);
           }
         }
       }
@@ -1715,57 +1715,57 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map133 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map133.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key134;
-          long _val135;
-          for (int _i136 = 0; _i136 < _map133.size; ++_i136)
+          org.apache.thrift.protocol.TMap _map149 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.grantsTaken = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map149.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key150;
+          long _val151;
+          for (int _i152 = 0; _i152 < _map149.size; ++_i152)
           {
-            _key134 = iprot.readString();
-            _val135 = iprot.readI64();
-            struct.grantsTaken.put(_key134, _val135);
+            _key150 = iprot.readString();
+            _val151 = iprot.readI64();
+            struct.grantsTaken.put(_key150, _val151);
           }
         }
         struct.setGrantsTakenIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list137 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.asks = new java.util.ArrayList<UseAsk>(_list137.size);
-          @org.apache.thrift.annotation.Nullable UseAsk _elem138;
-          for (int _i139 = 0; _i139 < _list137.size; ++_i139)
+          org.apache.thrift.protocol.TList _list153 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.asks = new java.util.ArrayList<UseAsk>(_list153.size);
+          @org.apache.thrift.annotation.Nullable UseAsk _elem154;
+          for (int _i155 = 0; _i155 < _list153.size; ++_i155)
           {
-            _elem138 = new UseAsk();
-            _elem138.read(iprot);
-            struct.asks.add(_elem138);
+            _elem154 = new UseAsk();
+            _elem154.read(iprot);
+            struct.asks.add(_elem154);
           }
         }
         struct.setAsksIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list140 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.decisions = new java.util.ArrayList<UseDecision>(_list140.size);
-          @org.apache.thrift.annotation.Nullable UseDecision _elem141;
-          for (int _i142 = 0; _i142 < _list140.size; ++_i142)
+          org.apache.thrift.protocol.TList _list156 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.decisions = new java.util.ArrayList<UseDecision>(_list156.size);
+          @org.apache.thrift.annotation.Nullable UseDecision _elem157;
+          for (int _i158 = 0; _i158 < _list156.size; ++_i158)
           {
-            _elem141 = new UseDecision();
-            _elem141.read(iprot);
-            struct.decisions.add(_elem141);
+            _elem157 = new UseDecision();
+            _elem157.read(iprot);
+            struct.decisions.add(_elem157);
           }
         }
         struct.setDecisionsIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list143 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list143.size);
-          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem144;
-          for (int _i145 = 0; _i145 < _list143.size; ++_i145)
+          org.apache.thrift.protocol.TList _list159 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.withdrawals = new java.util.ArrayList<UseWithdrawal>(_list159.size);
+          @org.apache.thrift.annotation.Nullable UseWithdrawal _elem160;
+          for (int _i161 = 0; _i161 < _list159.size; ++_i161)
           {
-            _elem144 = new UseWithdrawal();
-            _elem144.read(iprot);
-            struct.withdrawals.add(_elem144);
+            _elem160 = new UseWithdrawal();
+            _elem160.read(iprot);
+            struct.withdrawals.add(_elem160);
           }
         }
         struct.setWithdrawalsIsSet(true);
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePauses.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/gen/UsePauses.java
@@ -428,14 +428,14 @@
           case 2: // PAUSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list104 = iprot.readListBegin();
-                struct.pauses = new java.util.ArrayList<UsePause>(_list104.size);
-                @org.apache.thrift.annotation.Nullable UsePause _elem105;
-                for (int _i106 = 0; _i106 < _list104.size; ++_i106)
+                org.apache.thrift.protocol.TList _list120 = iprot.readListBegin();
+                struct.pauses = new java.util.ArrayList<UsePause>(_list120.size);
+                @org.apache.thrift.annotation.Nullable UsePause _elem121;
+                for (int _i122 = 0; _i122 < _list120.size; ++_i122)
                 {
-                  _elem105 = new UsePause();
-                  _elem105.read(iprot);
-                  struct.pauses.add(_elem105);
+                  _elem121 = new UsePause();
+                  _elem121.read(iprot);
+                  struct.pauses.add(_elem121);
                 }
                 iprot.readListEnd();
               }
@@ -471,9 +471,9 @@
           oprot.writeFieldBegin(PAUSES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.pauses.size()));
-            for (UsePause _iter107 : struct.pauses)
+            for (UsePause _iter123 : struct.pauses)
             {
-              _iter107.write(oprot);
+              _iter123.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -507,9 +507,9 @@
       if (struct.isSetPauses()) {
         {
           oprot.writeI32(struct.pauses.size());
-          for (UsePause _iter108 : struct.pauses)
+          for (UsePause _iter124 : struct.pauses)
           {
-            _iter108.write(oprot);
+            _iter124.write(oprot);
           }
         }
       }
@@ -523,14 +523,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list109 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.pauses = new java.util.ArrayList<UsePause>(_list109.size);
-          @org.apache.thrift.annotation.Nullable UsePause _elem110;
-          for (int _i111 = 0; _i111 < _list109.size; ++_i111)
+          org.apache.thrift.protocol.TList _list125 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.pauses = new java.util.ArrayList<UsePause>(_list125.size);
+          @org.apache.thrift.annotation.Nullable UsePause _elem126;
+          for (int _i127 = 0; _i127 < _list125.size; ++_i127)
           {
-            _elem110 = new UsePause();
-            _elem110.read(iprot);
-            struct.pauses.add(_elem110);
+            _elem126 = new UsePause();
+            _elem126.read(iprot);
+            struct.pauses.add(_elem126);
           }
         }
         struct.setPausesIsSet(true);
