Log queries that dispatchers do not answer in time and the lag of the event loop

pool.unanswered counts the queries that an instance decided itself and the grants that arrived afterwards; instance.lag tells how late its periodic task runs. Eligibility for the dispatcher role moves from PeerSocket into a class of its own, with the same limits.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServicePool.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServicePool.java
@@ -31,6 +31,7 @@
             };
     private final Map<InstanceId, Long> mHighestGrants = new LinkedHashMap<>();
     private final List<PoolMessage> mOutbox = new ArrayList<>();
+    private QueryCounts mQueryCounts = QueryCounts.NONE;
 
     /** Creates an instance's part of a pool. */
     public ServicePool(String service, PoolScheduler scheduler) {
@@ -53,6 +54,13 @@
         return Optional.ofNullable(mHighestGrants.get(dispatcher));
     }
 
+    /** Returns how queries ended since the last call. */
+    public QueryCounts takeQueryCounts() {
+        QueryCounts counts = mQueryCounts;
+        mQueryCounts = QueryCounts.NONE;
+        return counts;
+    }
+
     /** Returns whether there are messages to send. */
     public boolean hasMessages() {
         return !mOutbox.isEmpty();
@@ -126,10 +134,14 @@
             mQueries.acknowledge(queued.queryId(), nowMillis);
             return List.of();
         }
+        Optional<PoolJob> job = mQueries.remove(decision.queryId());
         if (decision instanceof PoolDecision.Start start) {
+            boolean repeated = mHighestGrants.getOrDefault(dispatcher, 0L) >= start.grant();
+            if (job.isEmpty() && !repeated) {
+                mQueryCounts = mQueryCounts.withUnusedGrant();
+            }
             mHighestGrants.merge(dispatcher, start.grant(), Math::max);
         }
-        Optional<PoolJob> job = mQueries.remove(decision.queryId());
         if (job.isEmpty()) {
             return List.of();
         }
@@ -153,7 +165,9 @@
     public List<PoolAction> tick(Optional<InstanceId> dispatcher, long nowMillis) {
         List<PoolAction> actions = new ArrayList<>();
         List<PoolJob> resend = new ArrayList<>();
-        for (PoolJob job : mQueries.takeTimedOut(dispatcher, resend, nowMillis)) {
+        List<PoolJob> timedOut = mQueries.takeTimedOut(dispatcher, resend, nowMillis);
+        mQueryCounts = mQueryCounts.withDecidedLocally(timedOut.size());
+        for (PoolJob job : timedOut) {
             actions.addAll(localActions(mScheduler.submit(job, nowMillis)));
         }
         resend.forEach(job -> mOutbox.add(new PoolMessage.Query(dispatcher.orElseThrow(), job)));
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -41,9 +41,6 @@
     /** The delay until waiting requests are evaluated again, in milliseconds. */
     private static final long POOL_TICK_DELAY_MILLIS = 10;
 
-    /** The interval at which reports due to other instances are sent, in milliseconds. */
-    private static final long PEER_TICK_INTERVAL_MILLIS = 50;
-
     /** The interval of checks for stalled streams and idle connections, in milliseconds. */
     private static final long SWEEP_INTERVAL_MILLIS = 200;
 
@@ -132,8 +129,8 @@
         mLoop.execute(this::startStoreReading);
         mLoop.scheduleWithFixedDelay(
                 this::peerTick,
-                PEER_TICK_INTERVAL_MILLIS,
-                PEER_TICK_INTERVAL_MILLIS,
+                PeerSocket.TICK_INTERVAL_MILLIS,
+                PeerSocket.TICK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         mLoop.scheduleWithFixedDelay(
                 this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -25,6 +25,8 @@
 import org.magnoliapick.gateway.internal.relay.Pools;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.member.DispatcherEligibility;
+import org.magnoliapick.member.LoopLag;
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.PeerTable;
 import org.magnoliapick.member.PendingReport;
@@ -47,17 +49,17 @@
     /** Maximum datagram size; a datagram larger than the receive buffer would be truncated. */
     private static final int MAX_DATAGRAM_BYTES = 65_535;
 
-    /** Gap between ticks beyond which this instance counts as stalled, in milliseconds. */
-    private static final long MAX_TICK_GAP_MILLIS = 1_000;
+    /** The interval of ticks, in milliseconds. */
+    public static final long TICK_INTERVAL_MILLIS = 50;
 
-    /** How long use changes and replies are delayed to be batched, in milliseconds. */
-    private static final long FLUSH_DELAY_MILLIS = 10;
+    /** The interval of log lines on the lag of the event loop, in milliseconds. */
+    private static final long LAG_LOG_INTERVAL_MILLIS = 1_000;
 
-    /** How long after its start an instance declines the dispatcher role, in milliseconds. */
-    private static final long STARTUP_MILLIS = 3_000;
+    /** The mean lag from which on it is logged, in milliseconds. */
+    private static final double LOGGED_LAG_MILLIS = 10;
 
-    /** How long after a stall an instance declines the dispatcher role, in milliseconds. */
-    private static final long STALL_RECOVERY_MILLIS = 2_000;
+    /** How long use changes and replies are delayed to be batched, in milliseconds. */
+    private static final long FLUSH_DELAY_MILLIS = 10;
 
     private final EventLoopGroup mGroup;
     private final GatewaySettings mSettings;
@@ -70,13 +72,12 @@
     private final RateLimits mRateLimits;
     private final StorePeers mStorePeers;
     private final long mStartedMillis;
+    private final DispatcherEligibility mEligibility;
     private InstanceId mDispatcher;
-    private long mLastTickMillis;
+    private long mLagLoggedMillis;
     private Channel mChannel;
     private boolean mFlushScheduled;
     private boolean mDelayedFlushScheduled;
-    private boolean mStopping;
-    private long mLastStallMillis = Long.MIN_VALUE / 2;
     private long mSequence;
     private int mLiveCount;
 
@@ -108,6 +109,7 @@
         mRateLimits = rateLimits;
         mStorePeers = storePeers;
         mStartedMillis = clockMillis.getAsLong();
+        mEligibility = new DispatcherEligibility(TICK_INTERVAL_MILLIS, mStartedMillis);
         // All instances listen on the same peer port; a seed's address names another of its ports.
         List<String> seeds = new ArrayList<>();
         for (AddressPort seed : settings.seeds()) {
@@ -145,6 +147,7 @@
     /** Sends the reports that are due and updates the dispatcher role and the live count. */
     public void tick(long nowMillis) {
         updateDispatcherEligibility(nowMillis);
+        logLag(nowMillis);
         flush(mTable.reportsDue(nowMillis), nowMillis);
         updateLiveCount(nowMillis);
     }
@@ -212,24 +215,32 @@
      * this instance, or else the next ones that are due.
      */
     public void beginStop() {
-        mStopping = true;
+        mEligibility.beginStop();
         mTable.setDeclinesDispatcherRole(true);
         sendStoreUpdate();
     }
 
-    /**
-     * Detects stalls, and declines the dispatcher role while stopping, after the start and after a
-     * stall. An instance that has just stalled is a poor dispatcher for some time.
-     */
     private void updateDispatcherEligibility(long nowMillis) {
-        if (mLastTickMillis > 0 && nowMillis - mLastTickMillis > MAX_TICK_GAP_MILLIS) {
-            mLastStallMillis = nowMillis;
-            mLog.line("instance.held-up").with("millis", nowMillis - mLastTickMillis).log();
+        mEligibility
+                .tick(nowMillis)
+                .ifPresent(millis -> mLog.line("instance.held-up").with("millis", millis).log());
+        mTable.setDeclinesDispatcherRole(mEligibility.declines(nowMillis));
+    }
+
+    /** Logs how much this instance lags, if it does. */
+    private void logLag(long nowMillis) {
+        if (nowMillis - mLagLoggedMillis < LAG_LOG_INTERVAL_MILLIS) {
+            return;
+        }
+        mLagLoggedMillis = nowMillis;
+        LoopLag lag = mEligibility.lag();
+        long maxMillis = lag.takeMaxMillis();
+        if (lag.meanMillis() >= LOGGED_LAG_MILLIS) {
+            mLog.line("instance.lag")
+                    .with("meanMillis", Math.round(lag.meanMillis()))
+                    .with("maxMillis", maxMillis)
+                    .log();
         }
-        mLastTickMillis = nowMillis;
-        boolean starting = nowMillis - mStartedMillis < STARTUP_MILLIS;
-        mTable.setDeclinesDispatcherRole(
-                mStopping || starting || nowMillis - mLastStallMillis < STALL_RECOVERY_MILLIS);
     }
 
     /**
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -24,6 +24,7 @@
 import org.magnoliapick.pool.PoolScheduler;
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.PoolUse;
+import org.magnoliapick.pool.QueryCounts;
 import org.magnoliapick.pool.ServicePool;
 import org.magnoliapick.pool.Ticket;
 import org.magnoliapick.pool.UpstreamDirectory;
@@ -169,9 +170,11 @@
     }
 
     /**
-     * Logs queue, shares and estimated load of each model engine service, on the dispatcher only.
+     * Logs queue, shares and estimated load of each model engine service, on the dispatcher only,
+     * and the queries that dispatchers did not answer in time.
      */
     public void logLoad(EventLog log, long nowMillis) {
+        mPools.forEach((service, pool) -> logUnanswered(service, pool.takeQueryCounts(), log));
         if (mRemoteDispatcher.get().isPresent()) {
             return;
         }
@@ -188,6 +191,16 @@
                 });
     }
 
+    private static void logUnanswered(String service, QueryCounts counts, EventLog log) {
+        if (!counts.isEmpty()) {
+            log.line("pool.unanswered")
+                    .with("service", service)
+                    .with("decidedLocally", counts.decidedLocally())
+                    .with("unusedGrants", counts.unusedGrants())
+                    .log();
+        }
+    }
+
     /** Closes idle connections that the upstream has closed or is about to close. */
     public void sweep(long nowMillis) {
         mConnections.values().forEach(entry -> entry.connections().sweep(nowMillis));
