--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/DispatcherEligibility.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/DispatcherEligibility.java
@@ -18,6 +18,7 @@
 
     private final long mStartedMillis;
     private final LoopLag mLag;
+    private final ReceiveBacklog mBacklog = new ReceiveBacklog();
     private long mLastStallMillis = Long.MIN_VALUE / 2;
     private boolean mStopping;
 
@@ -47,7 +48,7 @@
     }
 
     /** Returns whether this instance declines the role. */
-    public boolean declines(long nowMillis) {
+    public boolean isDeclined(long nowMillis) {
         return mStopping
                 || nowMillis - mStartedMillis < STARTUP_MILLIS
                 || nowMillis - mLastStallMillis < STALL_RECOVERY_MILLIS;
@@ -57,4 +58,9 @@
     public LoopLag lag() {
         return mLag;
     }
+
+    /** Returns how long messages of other instances have been waiting. */
+    public ReceiveBacklog backlog() {
+        return mBacklog;
+    }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -25,8 +25,6 @@
 import org.magnoliapick.gateway.internal.relay.Pools;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.limit.RateLimits;
-import org.magnoliapick.member.DispatcherEligibility;
-import org.magnoliapick.member.LoopLag;
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.PeerTable;
 import org.magnoliapick.member.PendingReport;
@@ -52,12 +50,6 @@
     /** The interval of ticks, in milliseconds. */
     public static final long TICK_INTERVAL_MILLIS = 50;
 
-    /** The interval of log lines on the lag of the event loop, in milliseconds. */
-    private static final long LAG_LOG_INTERVAL_MILLIS = 1_000;
-
-    /** The mean lag from which on it is logged, in milliseconds. */
-    private static final double LOGGED_LAG_MILLIS = 10;
-
     /** How long use changes and replies are delayed to be batched, in milliseconds. */
     private static final long FLUSH_DELAY_MILLIS = 10;
 
@@ -72,9 +64,8 @@
     private final RateLimits mRateLimits;
     private final StorePeers mStorePeers;
     private final long mStartedMillis;
-    private final DispatcherEligibility mEligibility;
+    private final DispatcherRole mRole;
     private InstanceId mDispatcher;
-    private long mLagLoggedMillis;
     private Channel mChannel;
     private boolean mFlushScheduled;
     private boolean mDelayedFlushScheduled;
@@ -109,7 +100,7 @@
         mRateLimits = rateLimits;
         mStorePeers = storePeers;
         mStartedMillis = clockMillis.getAsLong();
-        mEligibility = new DispatcherEligibility(TICK_INTERVAL_MILLIS, mStartedMillis);
+        mRole = new DispatcherRole(log, TICK_INTERVAL_MILLIS, mStartedMillis);
         // All instances listen on the same peer port; a seed's address names another of its ports.
         List<String> seeds = new ArrayList<>();
         for (AddressPort seed : settings.seeds()) {
@@ -136,7 +127,8 @@
                         .channel(NioDatagramChannel.class)
                         .option(
                                 ChannelOption.RCVBUF_ALLOCATOR,
-                                new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
+                                new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES)
+                                        .maxMessagesPerRead(DispatcherRole.MAX_MESSAGES_PER_READ))
                         .handler(new PacketHandler())
                         .bind(mSettings.peerAddress().socketAddress())
                         .sync()
@@ -146,8 +138,8 @@
 
     /** Sends the reports that are due and updates the dispatcher role and the live count. */
     public void tick(long nowMillis) {
-        updateDispatcherEligibility(nowMillis);
-        logLag(nowMillis);
+        mRole.tick(nowMillis);
+        mTable.setDeclinesDispatcherRole(mRole.isDeclined(nowMillis));
         flush(mTable.reportsDue(nowMillis), nowMillis);
         updateLiveCount(nowMillis);
     }
@@ -215,34 +207,11 @@
      * this instance, or else the next ones that are due.
      */
     public void beginStop() {
-        mEligibility.beginStop();
+        mRole.beginStop();
         mTable.setDeclinesDispatcherRole(true);
         sendStoreUpdate();
     }
 
-    private void updateDispatcherEligibility(long nowMillis) {
-        mEligibility
-                .tick(nowMillis)
-                .ifPresent(millis -> mLog.line("instance.held-up").with("millis", millis).log());
-        mTable.setDeclinesDispatcherRole(mEligibility.declines(nowMillis));
-    }
-
-    /** Logs how much this instance lags, if it does. */
-    private void logLag(long nowMillis) {
-        if (nowMillis - mLagLoggedMillis < LAG_LOG_INTERVAL_MILLIS) {
-            return;
-        }
-        mLagLoggedMillis = nowMillis;
-        LoopLag lag = mEligibility.lag();
-        long maxMillis = lag.takeMaxMillis();
-        if (lag.meanMillis() >= LOGGED_LAG_MILLIS) {
-            mLog.line("instance.lag")
-                    .with("meanMillis", Math.round(lag.meanMillis()))
-                    .with("maxMillis", maxMillis)
-                    .log();
-        }
-    }
-
     /**
      * Schedules the sending of waiting messages right after the current event loop task, or else
      * the sending of this instance's changed use after a short delay, so that changes and replies
@@ -409,8 +378,14 @@
     }
 
     private final class PacketHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            mRole.readCompleted(mClockMillis.getAsLong());
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            mRole.messageRead();
             byte[] bytes = new byte[packet.content().readableBytes()];
             packet.content().readBytes(bytes);
             UsePacketCodec.decode(bytes, mSettings.instance(), mClockMillis.getAsLong())
