Take back grants that start nothing

The dispatcher was slow, so that queries timed out and were decided by the instances that had sent them. The dispatcher went on to decide them, charged their tokens to the workspaces and counted them as load. Its report of 309,804 tokens for a workspace that had got about 20,000 made the next candidate for its role refuse that workspace's requests.

Cause: a grant was charged when it was made, and nothing took it back when it came too late. The same held for a query whose caller had left or that had moved to another dispatcher, and for a grant of an upstream that the requester does not list.

An instance now withdraws a query at a dispatcher as soon as it no longer waits for its decision, with the message that exists for callers that leave, and uses only decisions of the dispatcher at which the query is pending. A dispatcher that granted a withdrawn query takes the tokens back, as far as they have not decayed, and no longer counts the grant as load. An older build ignores a withdrawal of a query that it has decided, as before.

The dispatcher still answers late.

ServicePoolTest: takesBackAGrantThatComesAfterTheLocalDecision and three more failed before ("expecting empty but was" the workspace's tokens). sendsPendingQueriesToANewDispatcher expected the query as the only message; it now expects exactly the withdrawal at the former dispatcher and the query, in order.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PendingQueries.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PendingQueries.java
@@ -41,9 +41,14 @@
         }
     }
 
-    /** Removes a query; returns its request unless the query was removed before. */
-    public Optional<PoolJob> remove(long queryId) {
-        return Optional.ofNullable(mQueries.remove(queryId)).map(each -> each.mJob);
+    /**
+     * Removes a query that a dispatcher decided; returns its request unless the query is no longer
+     * pending at that dispatcher.
+     */
+    public Optional<PoolJob> remove(long queryId, InstanceId dispatcher) {
+        return Optional.ofNullable(mQueries.get(queryId))
+                .filter(query -> query.mDispatcher.equals(dispatcher))
+                .map(query -> mQueries.remove(queryId).mJob);
     }
 
     /**
@@ -60,32 +65,45 @@
     }
 
     /**
-     * Removes and returns the queries that this instance has to decide: those whose reply timed
-     * out, or all of them if this instance is the dispatcher.
+     * Returns what is to be done about the pending queries: those whose reply timed out, or all of
+     * them if this instance is the dispatcher, are removed to be decided by this instance; others
+     * are to be sent to the dispatcher, because the retry interval has passed or the dispatcher has
+     * changed.
      *
      * @param dispatcher the current dispatcher; absent if it is this instance
-     * @param resend receives the requests whose query is to be sent to the dispatcher, because the
-     *     retry interval has passed or the dispatcher has changed
      */
-    public List<PoolJob> takeTimedOut(
-            Optional<InstanceId> dispatcher, List<PoolJob> resend, long nowMillis) {
-        List<PoolJob> timedOutJobs = new ArrayList<>();
+    public QueriesDue takeDue(Optional<InstanceId> dispatcher, long nowMillis) {
+        List<PoolJob> undecided = new ArrayList<>();
+        List<PoolMessage> messages = new ArrayList<>();
         for (PendingQuery query : List.copyOf(mQueries.values())) {
             boolean dispatcherChanged = !dispatcher.equals(Optional.of(query.mDispatcher));
             boolean timedOut =
                     nowMillis - query.mLastReplyMillis > TIMEOUT_MILLIS + QUEUED_RETRY_MILLIS;
-            if (dispatcher.isEmpty() || timedOut) {
+            boolean decidedHere = dispatcher.isEmpty() || timedOut;
+            if (decidedHere || dispatcherChanged) {
+                messages.add(query.withdrawal());
+            }
+            if (decidedHere) {
                 mQueries.remove(query.mJob.queryId());
-                timedOutJobs.add(query.mJob);
+                undecided.add(query.mJob);
             } else if (dispatcherChanged || nowMillis - query.mSentMillis >= query.retryMillis()) {
                 query.mDispatcher = dispatcher.get();
                 query.mSentMillis = nowMillis;
-                resend.add(query.mJob);
+                messages.add(new PoolMessage.Query(query.mDispatcher, query.mJob));
             }
         }
-        return timedOutJobs;
+        return new QueriesDue(undecided, messages);
     }
 
+    /**
+     * What is to be done about pending queries.
+     *
+     * @param undecided the requests that this instance has to decide
+     * @param messages the queries to send, and the withdrawals of those that a dispatcher is no
+     *     longer to decide
+     */
+    public record QueriesDue(List<PoolJob> undecided, List<PoolMessage> messages) {}
+
     private static final class PendingQuery {
         private final PoolJob mJob;
         private final long mCreatedMillis;
@@ -102,6 +120,10 @@
             mLastReplyMillis = nowMillis - QUEUED_RETRY_MILLIS;
         }
 
+        private PoolMessage withdrawal() {
+            return new PoolMessage.Withdrawal(mDispatcher, mJob.service(), mJob.queryId());
+        }
+
         private long retryMillis() {
             return mLastReplyMillis >= mCreatedMillis ? QUEUED_RETRY_MILLIS : RETRY_MILLIS;
         }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -168,20 +168,24 @@
      * is not listed here.
      */
     public Optional<Ticket> startGranted(PoolJob job, PoolDecision.Start start, long nowMillis) {
-        return mLoads.find(start.upstream()).map(load -> startGranted(load, job, start, nowMillis));
+        return mLoads.find(start.upstream())
+                .map(
+                        load -> {
+                            Ticket ticket = Ticket.ofGrant(load.upstream(), job, start, nowMillis);
+                            load.addStarted(ticket, job.prompt().parts());
+                            return ticket;
+                        });
     }
 
-    private static Ticket startGranted(
-            UpstreamLoad load, PoolJob job, PoolDecision.Start start, long nowMillis) {
-        Ticket ticket =
-                new Ticket(
-                        load.upstream(),
-                        start.newTokens(),
-                        PlacementPolicy.memoryTokens(job, start.newTokens()),
-                        start.aheadTokens(),
-                        nowMillis);
-        load.addStarted(ticket, job.prompt().parts());
-        return ticket;
+    /** Takes back a grant to another instance, which starts nothing by it. */
+    void revokeGrant(PoolAction.Start start, long nowMillis) {
+        load(start.ticket()).ifPresent(load -> load.removeGranted(start.ticket()));
+        PoolJob job = start.job();
+        mServed.remove(
+                job.account(),
+                job.prompt().costTokens(),
+                start.ticket().startedMillis(),
+                nowMillis);
     }
 
     /** Records that an instance's reports include all its grants up to a number. */
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServedTokens.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServedTokens.java
@@ -28,6 +28,14 @@
         mOwn.merge(workspace, (double) tokens, Double::sum);
     }
 
+    /** Takes back tokens that were added at a time, as far as they have not decayed. */
+    void remove(WorkspaceId workspace, long tokens, long addedMillis, long nowMillis) {
+        decay(nowMillis);
+        double left = tokens * Math.exp(-(nowMillis - addedMillis) / mWindowMillis);
+        mOwn.computeIfPresent(workspace, (id, served) -> served - left);
+        mOwn.values().removeIf(served -> served < 1);
+    }
+
     void updatePeer(InstanceId instance, Map<WorkspaceId, Long> served, long nowMillis) {
         mPeers.put(instance, new PeerServed(served, nowMillis));
     }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServicePool.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServicePool.java
@@ -20,12 +20,12 @@
     private final PoolScheduler mScheduler;
     private final PendingQueries mQueries = new PendingQueries();
     private final String mService;
-    private final Map<QueryKey, PoolDecision> mDecisions =
+    private final Map<QueryKey, KeptDecision> mDecisions =
             new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1L;
 
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<QueryKey, PoolDecision> eldest) {
+                protected boolean removeEldestEntry(Map.Entry<QueryKey, KeptDecision> eldest) {
                     return size() > MAX_KEPT_DECISIONS;
                 }
             };
@@ -104,9 +104,9 @@
      */
     public List<PoolAction> receiveQuery(InstanceId requester, PoolJob job, long nowMillis) {
         QueryKey key = new QueryKey(requester, job.queryId());
-        PoolDecision earlier = mDecisions.get(key);
+        KeptDecision earlier = mDecisions.get(key);
         if (earlier != null) {
-            queueReply(requester, earlier);
+            queueReply(requester, earlier.decision());
             return List.of();
         }
         List<PoolAction> actions = List.of();
@@ -119,9 +119,16 @@
         return actions;
     }
 
-    /** Processes the withdrawal of another instance's query. */
-    public void receiveWithdrawal(InstanceId requester, long queryId) {
+    /**
+     * Processes the withdrawal of another instance's query. A grant on it starts nothing, so it is
+     * taken back.
+     */
+    public void receiveWithdrawal(InstanceId requester, long queryId, long nowMillis) {
         mScheduler.findWaiting(requester, queryId).ifPresent(mScheduler::withdraw);
+        KeptDecision kept = mDecisions.get(new QueryKey(requester, queryId));
+        if (kept != null) {
+            kept.takeGrant().ifPresent(grant -> mScheduler.revokeGrant(grant, nowMillis));
+        }
     }
 
     /**
@@ -134,7 +141,7 @@
             mQueries.acknowledge(queued.queryId(), nowMillis);
             return List.of();
         }
-        Optional<PoolJob> job = mQueries.remove(decision.queryId());
+        Optional<PoolJob> job = mQueries.remove(decision.queryId(), dispatcher);
         if (decision instanceof PoolDecision.Start start) {
             boolean repeated = mHighestGrants.getOrDefault(dispatcher, 0L) >= start.grant();
             if (job.isEmpty() && !repeated) {
@@ -153,6 +160,7 @@
         Optional<Ticket> ticket = mScheduler.startGranted(job.get(), start, nowMillis);
         if (ticket.isEmpty()) {
             // The dispatcher chose an upstream that is not, or no longer, listed here.
+            mOutbox.add(new PoolMessage.Withdrawal(dispatcher, mService, start.queryId()));
             return localActions(mScheduler.submit(job.get(), nowMillis));
         }
         return List.of(new PoolAction.Start(job.get(), ticket.get(), start.grant(), start.cause()));
@@ -164,13 +172,12 @@
      */
     public List<PoolAction> tick(Optional<InstanceId> dispatcher, long nowMillis) {
         List<PoolAction> actions = new ArrayList<>();
-        List<PoolJob> resend = new ArrayList<>();
-        List<PoolJob> timedOut = mQueries.takeTimedOut(dispatcher, resend, nowMillis);
-        mQueryCounts = mQueryCounts.withDecidedLocally(timedOut.size());
-        for (PoolJob job : timedOut) {
+        PendingQueries.QueriesDue due = mQueries.takeDue(dispatcher, nowMillis);
+        mOutbox.addAll(due.messages());
+        mQueryCounts = mQueryCounts.withDecidedLocally(due.undecided().size());
+        for (PoolJob job : due.undecided()) {
             actions.addAll(localActions(mScheduler.submit(job, nowMillis)));
         }
-        resend.forEach(job -> mOutbox.add(new PoolMessage.Query(dispatcher.orElseThrow(), job)));
         actions.addAll(localActions(mScheduler.tick(nowMillis)));
         return actions;
     }
@@ -188,7 +195,7 @@
             } else {
                 PoolDecision decision = decision(action);
                 QueryKey key = new QueryKey(requester.get(), decision.queryId());
-                mDecisions.put(key, decision);
+                mDecisions.put(key, new KeptDecision(decision, action));
                 queueReply(requester.get(), decision);
             }
         }
@@ -216,4 +223,28 @@
     }
 
     private record QueryKey(InstanceId requester, long queryId) {}
+
+    /** A decision that was sent, with the grant that it stands for until that is taken back. */
+    private static final class KeptDecision {
+        private final PoolDecision mDecision;
+        private Optional<PoolAction.Start> mGrant;
+
+        private KeptDecision(PoolDecision decision, PoolAction action) {
+            mDecision = decision;
+            mGrant =
+                    action instanceof PoolAction.Start start
+                            ? Optional.of(start)
+                            : Optional.empty();
+        }
+
+        private PoolDecision decision() {
+            return mDecision;
+        }
+
+        private Optional<PoolAction.Start> takeGrant() {
+            Optional<PoolAction.Start> grant = mGrant;
+            mGrant = Optional.empty();
+            return grant;
+        }
+    }
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Ticket.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Ticket.java
@@ -23,6 +23,17 @@
         mStartedMillis = startedMillis;
     }
 
+    /** Returns the ticket of a request that a dispatcher granted to this instance. */
+    static Ticket ofGrant(
+            ListedUpstream upstream, PoolJob job, PoolDecision.Start start, long nowMillis) {
+        return new Ticket(
+                upstream,
+                start.newTokens(),
+                PlacementPolicy.memoryTokens(job, start.newTokens()),
+                start.aheadTokens(),
+                nowMillis);
+    }
+
     /** Returns the upstream to which the request is sent. */
     public ListedUpstream upstream() {
         return mUpstream;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -179,6 +179,13 @@
         mCache.ifPresent(cache -> cache.add(parts));
     }
 
+    /** Removes a request that was granted and is not started, unless it no longer counts. */
+    void removeGranted(Ticket ticket) {
+        if (mPendingGrants.removeIf(each -> each.ticket() == ticket)) {
+            mTotals = Optional.empty();
+        }
+    }
+
     /** Records that an instance's reports include all its grants up to a number. */
     void acknowledgeGrants(InstanceId requester, long grant) {
         if (mPendingGrants.removeIf(
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/ServicePoolTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/ServicePoolTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.WorkspaceId;
 
 /**
  * Tests two instances, one of which is the dispatcher; the test delivers, drops and repeats the
@@ -20,11 +22,14 @@
 
     private List<PoolAction> deliverToDispatcher(long nowMillis) {
         for (PoolMessage message : mRequester.takeOutbox()) {
+            if (!message.to().equals(DISPATCHER)) {
+                continue;
+            }
             if (message instanceof PoolMessage.Query query) {
                 mDispatcher.receiveQuery(
                         REQUESTER, Jobs.fromInstance(query.job(), "asker"), nowMillis);
             } else if (message instanceof PoolMessage.Withdrawal withdraw) {
-                mDispatcher.receiveWithdrawal(REQUESTER, withdraw.queryId());
+                mDispatcher.receiveWithdrawal(REQUESTER, withdraw.queryId(), nowMillis);
             }
         }
         return List.of();
@@ -84,10 +89,14 @@
     @Test
     void sendsPendingQueriesToANewDispatcher() {
         InstanceId other = new InstanceId("other");
-        mRequester.submit(Jobs.job(1, "w", "p", 100, 0), Optional.of(DISPATCHER), 0);
+        PoolJob job = Jobs.job(1, "w", "p", 100, 0);
+        mRequester.submit(job, Optional.of(DISPATCHER), 0);
         mRequester.takeOutbox();
         mRequester.tick(Optional.of(other), 10);
-        assertThat(mRequester.takeOutbox()).hasSize(1).allMatch(each -> each.to().equals(other));
+        assertThat(mRequester.takeOutbox())
+                .containsExactly(
+                        new PoolMessage.Withdrawal(DISPATCHER, "s", 1),
+                        new PoolMessage.Query(other, job));
     }
 
     @Test
@@ -102,4 +111,66 @@
         deliverToDispatcher(2);
         assertThat(mDispatcher.waitingCount()).isZero();
     }
+
+    /** Guards against a workspace being charged by a slow dispatcher for what it did not get. */
+    @Test
+    void takesBackAGrantThatComesAfterTheLocalDecision() {
+        mRequester.submit(Jobs.job(1, "w", "p", 100, 0), Optional.of(DISPATCHER), 0);
+        assertThat(mRequester.tick(Optional.of(DISPATCHER), 61)).hasSize(1);
+        deliverToDispatcher(90);
+        assertThat(deliverToRequester(91)).isEmpty();
+        assertThat(servedTokens(mDispatcher, 91)).isEmpty();
+        assertThat(servedTokens(mRequester, 91)).containsOnlyKeys(new WorkspaceId("w"));
+        assertThat(mDispatcher.scheduler().aggregateUse(91).uses()).isEmpty();
+    }
+
+    /** Guards against the same for a caller that disconnects while the grant is under way. */
+    @Test
+    void takesBackAGrantWhoseRequestWasWithdrawnMeanwhile() {
+        PoolJob job = Jobs.job(1, "w", "p", 100, 0);
+        mRequester.submit(job, Optional.of(DISPATCHER), 0);
+        deliverToDispatcher(1);
+        mRequester.withdraw(job);
+        deliverToDispatcher(2);
+        assertThat(servedTokens(mDispatcher, 2)).isEmpty();
+    }
+
+    @Test
+    void takesBackAGrantOnlyOnce() {
+        PoolJob job = Jobs.job(1, "w", "p", 100, 0);
+        mRequester.submit(job, Optional.of(DISPATCHER), 0);
+        mRequester.submit(Jobs.job(2, "w", "q", 100, 0), Optional.of(DISPATCHER), 0);
+        deliverToDispatcher(1);
+        mDispatcher.receiveWithdrawal(REQUESTER, 1, 2);
+        Map<WorkspaceId, Long> withoutFirst = servedTokens(mDispatcher, 2);
+        assertThat(withoutFirst).containsOnlyKeys(new WorkspaceId("w"));
+        mDispatcher.receiveWithdrawal(REQUESTER, 1, 2);
+        assertThat(servedTokens(mDispatcher, 2)).isEqualTo(withoutFirst);
+    }
+
+    @Test
+    void withdrawsAQueryAtTheFormerDispatcherAndIgnoresItsGrant() {
+        InstanceId other = new InstanceId("other");
+        mRequester.submit(Jobs.job(1, "w", "p", 100, 0), Optional.of(DISPATCHER), 0);
+        deliverToDispatcher(1);
+        mRequester.tick(Optional.of(other), 10);
+        assertThat(deliverToRequester(11)).isEmpty();
+        deliverToDispatcher(12);
+        assertThat(servedTokens(mDispatcher, 12)).isEmpty();
+        assertThat(mRequester.waitingCount()).isEqualTo(1);
+    }
+
+    @Test
+    void takesBackAGrantForAnUpstreamThatTheRequesterDoesNotList() {
+        mRequester.scheduler().setUpstreams(List.of(), 0);
+        mRequester.submit(Jobs.job(1, "w", "p", 100, 0), Optional.of(DISPATCHER), 0);
+        deliverToDispatcher(1);
+        assertThat(deliverToRequester(2)).isEmpty();
+        deliverToDispatcher(3);
+        assertThat(servedTokens(mDispatcher, 3)).isEmpty();
+    }
+
+    private static Map<WorkspaceId, Long> servedTokens(ServicePool pool, long nowMillis) {
+        return pool.scheduler().ownUse(nowMillis).servedTokens();
+    }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -256,7 +256,8 @@
                     pool(reply.service(), nowMillis)
                             .receiveDecision(from, reply.decision(), nowMillis));
         } else if (message instanceof PoolMessage.Withdrawal withdrawal) {
-            pool(withdrawal.service(), nowMillis).receiveWithdrawal(from, withdrawal.queryId());
+            pool(withdrawal.service(), nowMillis)
+                    .receiveWithdrawal(from, withdrawal.queryId(), nowMillis);
         }
     }
 
