Treat reports of use as current only at the dispatcher

Cause: a report of an instance's own use counted as a report of each change, after which the receiver leaves all upstreams to less served workspaces that wait elsewhere. That is true at the dispatcher, which gets each change. The next candidate gets the same reports only periodically, each counts for 500 ms there, and by then the requests that waited had long been started by others.

The receiver now applies that limit only as the dispatcher; otherwise such a report has the effect of any periodic one: more served workspaces get idle upstreams and leave busy ones.

PoolSchedulerTest.usesIdleUpstreamsThoughLessServedWorkspacesWaitElsewhereUnlessItIsTheDispatcher failed before: no request was started on an idle upstream.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
@@ -56,6 +56,11 @@
         }
     }
 
+    /** Returns whether this instance decides regularly for others. */
+    boolean isDispatcher() {
+        return mShare.dispatcher();
+    }
+
     /** Applies the rate limits if any has changed. */
     void refreshRateLimits(long nowMillis) {
         if (mRateLimitChanges != mRateLimits.changeCount()) {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -96,7 +96,9 @@
             load.updatePeer(instance, ofLoad, use.aggregate(), nowMillis);
         }
         mServed.updatePeer(instance, use.servedTokens(), nowMillis);
-        mPeerQueues.updatePeer(instance, use, !use.aggregate(), nowMillis);
+        // Only the dispatcher is sent each change.
+        boolean reportsChanges = !use.aggregate() && mLoads.isDispatcher();
+        mPeerQueues.updatePeer(instance, use, reportsChanges, nowMillis);
     }
 
     /** Returns this instance's own use, for its reports to other instances. */
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolSchedulerTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolSchedulerTest.java
@@ -218,6 +218,18 @@
         assertThat(pool.submit(Jobs.job(3, "large", "p", 1_000, 2), 2)).isEmpty();
     }
 
+    /** Guards against the next dispatcher refusing its own requests while upstreams are idle. */
+    @Test
+    void usesIdleUpstreamsThoughLessServedWorkspacesWaitElsewhereUnlessItIsTheDispatcher() {
+        PoolScheduler pool = Jobs.scheduler("u");
+        pool.setShare(new FleetShare(0.5, false, 0), 0);
+        serveMore(pool, "large");
+        pool.updatePeer(new InstanceId("other"), useOfOthers(0, false), 1);
+        assertThat(pool.submit(Jobs.job(2, "large", "p", 1_000, 2), 2)).hasSize(1);
+        pool.updatePeer(new InstanceId("other"), useOfOthers(2_000, false), 3);
+        assertThat(pool.submit(Jobs.job(3, "large", "p", 1_000, 4), 4)).isEmpty();
+    }
+
     @Test
     void extrapolatesPrefillBetweenReportsOfAnotherDispatcher() {
         PoolScheduler pool = Jobs.scheduler("u");
