Decline the dispatcher role while the peer socket is never empty

Cause: a dispatcher with a sixth of its processor read 224 to 304 datagrams a second, fewer than arrived, so queries waited behind reports for longer than their requesters did. Its event loop turned: the periodic task was late by 12 to 57 ms on average, and the role was only declined after a stall of a second. Requesters did not suspect it, since it sent messages all the time.

Datagrams that are read in order waited at most since the socket was last found empty. An instance whose socket has not been empty for 300 ms now declines the role, tells the others at once and offers the role again 5 s after the backlog has ended, twice as long after each further overload (60 s at most), since the role itself may be what overloads it. instance.overloaded and instance.recovered log this. If all instances are overloaded, the first candidate decides as before.

DispatcherEligibilityTest.declinesTheRoleWhenItsSocketIsNeverEmpty and offersTheRoleAgainAfterATimeThatGrowsWithEachBacklog failed before: the role was not declined.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/DispatcherRole.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/DispatcherRole.java
@@ -19,6 +19,7 @@
     private int mRead;
     private int mReadSinceLog;
     private long mLoggedMillis;
+    private boolean mOverloaded;
 
     DispatcherRole(EventLog log, long tickIntervalMillis, long nowMillis) {
         mLog = log;
@@ -52,12 +53,24 @@
         mEligibility
                 .tick(nowMillis)
                 .ifPresent(millis -> mLog.line("instance.held-up").with("millis", millis).log());
+        logOverload(nowMillis);
         if (nowMillis - mLoggedMillis >= LOG_INTERVAL_MILLIS) {
             mLoggedMillis = nowMillis;
             logLag();
         }
     }
 
+    private void logOverload(long nowMillis) {
+        boolean overloaded = mEligibility.isOverloaded(nowMillis);
+        if (overloaded != mOverloaded) {
+            mOverloaded = overloaded;
+            mLog.line(overloaded ? "instance.overloaded" : "instance.recovered")
+                    .with("backlogMillis", mEligibility.backlog().millis(nowMillis))
+                    .with("meanMillis", Math.round(mEligibility.lag().meanMillis()))
+                    .log();
+        }
+    }
+
     private void logLag() {
         double meanMillis = mEligibility.lag().meanMillis();
         long maxMillis = mEligibility.lag().takeMaxMillis();
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -139,7 +139,7 @@
     /** Sends the reports that are due and updates the dispatcher role and the live count. */
     public void tick(long nowMillis) {
         mRole.tick(nowMillis);
-        mTable.setDeclinesDispatcherRole(mRole.isDeclined(nowMillis));
+        updateDeclinesRole(nowMillis);
         flush(mTable.reportsDue(nowMillis), nowMillis);
         updateLiveCount(nowMillis);
     }
@@ -189,9 +189,12 @@
      */
     public void sendStoreUpdate() {
         long nowMillis = mClockMillis.getAsLong();
-        if (!isDispatcher(nowMillis)) {
-            return;
+        if (isDispatcher(nowMillis)) {
+            sendToAll(nowMillis);
         }
+    }
+
+    private void sendToAll(long nowMillis) {
         Map<String, PendingReport> targets = new HashMap<>();
         for (String address : mTable.directAddresses(nowMillis)) {
             PendingReport target = PendingReport.storeUpdate(address);
@@ -201,15 +204,23 @@
         send(targets, nowMillis);
     }
 
-    /**
-     * Declines the dispatcher role from now on, so that others take over before this one stops.
-     * Reports announce this: those with the store update at once, if the cached dispatcher is still
-     * this instance, or else the next ones that are due.
-     */
+    /** Declines the dispatcher role from now on, so that others take over before this one stops. */
     public void beginStop() {
         mRole.beginStop();
-        mTable.setDeclinesDispatcherRole(true);
-        sendStoreUpdate();
+        updateDeclinesRole(mClockMillis.getAsLong());
+    }
+
+    /**
+     * Updates whether this instance declines the dispatcher role. If the dispatcher begins to
+     * decline it, the others are told at once, or else by the next reports that are due.
+     */
+    private void updateDeclinesRole(long nowMillis) {
+        boolean declines = mRole.isDeclined(nowMillis);
+        boolean announced = declines && !mTable.declinesDispatcherRole() && isDispatcher(nowMillis);
+        mTable.setDeclinesDispatcherRole(declines);
+        if (announced) {
+            sendToAll(nowMillis);
+        }
     }
 
     /**
