Hold a declined dispatcher role until the instance offers it again

Cause: a declined role held for a second after the last message of the instance. Instances that have another dispatcher send it none, so it sends none either; after a second they chose it again, and its reply to their reports told them that it still declined.

An instance now probes the candidates that come before its dispatcher and decline the role, once a second, and the role counts as declined for three seconds after the last message.

PeerTableTest.dispatcherThatDeclinesItsRoleIsReplacedUntilItOffersItAgain failed before: two dispatchers at a time.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
@@ -17,8 +17,11 @@
     /** How long a suspected instance is not eligible as dispatcher, in milliseconds. */
     private static final long SUSPECT_HOLD_MILLIS = 1_500;
 
-    /** How long a declined dispatcher role holds after the last message, in milliseconds. */
-    private static final long DECLINE_VALID_MILLIS = 1_000;
+    /**
+     * How long a declined dispatcher role holds after the last message, in milliseconds: some
+     * periods of the probes to candidates that decline it.
+     */
+    private static final long DECLINE_VALID_MILLIS = 3_000;
 
     /** How long datagrams of a finished incarnation may still arrive, in milliseconds. */
     private static final long OLD_INCARNATION_MILLIS = 500;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
@@ -36,7 +36,10 @@
     /** The period of reports to the next candidate, in report periods of the dispatcher. */
     private static final int STANDBY_PERIODS = 2;
 
-    /** The period of probes to an instance that is not live or does not reply, in milliseconds. */
+    /**
+     * The period of probes to an instance that is not live, does not reply or declines the
+     * dispatcher role, in milliseconds.
+     */
     private static final long PROBE_PERIOD_MILLIS = 1_000;
 
     /** The period of probes to a seed until any other instance is live, in milliseconds. */
@@ -160,6 +163,7 @@
         Map<String, PendingReport> due = new HashMap<>();
         addReplies(due, nowMillis);
         addProbes(due, nowMillis);
+        addProbesOfDeclined(due, nowMillis);
         addUsageReports(due, nowMillis);
         return markSent(due, nowMillis);
     }
@@ -216,6 +220,25 @@
         }
     }
 
+    /**
+     * Adds probes to the first candidates that come before the dispatcher and decline its role, so
+     * that this instance learns when they no longer do.
+     */
+    private void addProbesOfDeclined(Map<String, PendingReport> due, long nowMillis) {
+        List<String> order = mCells.dispatcherOrder(mSelf.domain());
+        Optional<String> dispatcher = eligible(order, nowMillis).stream().findFirst();
+        order.stream()
+                .takeWhile(address -> dispatcher.filter(address::equals).isEmpty())
+                .filter(address -> !address.equals(mSelf.address()))
+                .filter(address -> !isSuspect(address, nowMillis) && declines(address, nowMillis))
+                .limit(MAX_CANDIDATES)
+                .filter(
+                        address ->
+                                mPeers.get(address).sinceSentMillis(nowMillis)
+                                        >= PROBE_PERIOD_MILLIS)
+                .forEach(address -> add(PendingReport.probe(address), due));
+    }
+
     private void addUsageReports(Map<String, PendingReport> due, long nowMillis) {
         List<String> candidates = eligible(mCells.dispatcherOrder(mSelf.domain()), nowMillis);
         boolean isDispatcher = candidates.isEmpty() || candidates.get(0).equals(mSelf.address());
--- a/magnoliapick-core/src/test/java/org/magnoliapick/member/PeerTableTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/member/PeerTableTest.java
@@ -257,6 +257,38 @@
         assertThat(dispatcherAddress()).isNotEqualTo(stopping);
     }
 
+    /** Guards against instances that return to an overloaded dispatcher once a second. */
+    @Test
+    void dispatcherThatDeclinesItsRoleIsReplacedUntilItOffersItAgain() {
+        fleet(20);
+        run(2_000);
+        String declining = dispatcherAddress();
+        mTables.get(declining).setDeclinesDispatcherRole(true);
+        run(250);
+        String next = dispatcherAddress();
+        for (int i = 0; i < 1_000; i++) {
+            run(TICK_MILLIS);
+            assertThat(dispatcherAddress()).isEqualTo(next).isNotEqualTo(declining);
+        }
+        mTables.get(declining).setDeclinesDispatcherRole(false);
+        run(1_500);
+        assertThat(dispatcherAddress()).isEqualTo(declining);
+    }
+
+    /** Guards against a declined role that outlives the instance's connections. */
+    @Test
+    void instanceThatDeclinedTheRoleAndIsSilentIsNotWaitedFor() {
+        fleet(20);
+        run(2_000);
+        String declining = dispatcherAddress();
+        mTables.get(declining).setDeclinesDispatcherRole(true);
+        run(250);
+        String next = dispatcherAddress();
+        mDown.add(declining);
+        run(10_000);
+        assertThat(dispatcherAddress()).isEqualTo(next);
+    }
+
     @Test
     void largeFleetHasSeveralDispatchers() {
         fleet(240);
