Decide a query anew that returns after its withdrawal

A query that moves to another dispatcher is withdrawn at the former one, which takes back what it had granted. If the role moves back while the query is pending, the former dispatcher sent the same grant again: it was used, but neither charged to the workspace nor counted as load.

A withdrawal now removes the decision, so that the query is decided like a new one. A copy of the query that arrives after its withdrawal, which takes datagrams out of order, is decided as well; that grant is charged and starts nothing.

ServicePoolTest.decidesAQueryAnewThatReturnsFromAnotherDispatcher failed before: no tokens were charged.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServicePool.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServicePool.java
@@ -125,9 +125,9 @@
      */
     public void receiveWithdrawal(InstanceId requester, long queryId, long nowMillis) {
         mScheduler.findWaiting(requester, queryId).ifPresent(mScheduler::withdraw);
-        KeptDecision kept = mDecisions.get(new QueryKey(requester, queryId));
-        if (kept != null) {
-            kept.takeGrant().ifPresent(grant -> mScheduler.revokeGrant(grant, nowMillis));
+        KeptDecision kept = mDecisions.remove(new QueryKey(requester, queryId));
+        if (kept != null && kept.action() instanceof PoolAction.Start grant) {
+            mScheduler.revokeGrant(grant, nowMillis);
         }
     }
 
@@ -224,27 +224,6 @@
 
     private record QueryKey(InstanceId requester, long queryId) {}
 
-    /** A decision that was sent, with the grant that it stands for until that is taken back. */
-    private static final class KeptDecision {
-        private final PoolDecision mDecision;
-        private Optional<PoolAction.Start> mGrant;
-
-        private KeptDecision(PoolDecision decision, PoolAction action) {
-            mDecision = decision;
-            mGrant =
-                    action instanceof PoolAction.Start start
-                            ? Optional.of(start)
-                            : Optional.empty();
-        }
-
-        private PoolDecision decision() {
-            return mDecision;
-        }
-
-        private Optional<PoolAction.Start> takeGrant() {
-            Optional<PoolAction.Start> grant = mGrant;
-            mGrant = Optional.empty();
-            return grant;
-        }
-    }
+    /** A decision that was sent, and what it stands for here. */
+    private record KeptDecision(PoolDecision decision, PoolAction action) {}
 }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/ServicePoolTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/ServicePoolTest.java
@@ -160,6 +160,20 @@
         assertThat(mRequester.waitingCount()).isEqualTo(1);
     }
 
+    /** Guards against a grant that was taken back and starts a request after all. */
+    @Test
+    void decidesAQueryAnewThatReturnsFromAnotherDispatcher() {
+        mRequester.submit(Jobs.job(1, "w", "p", 100, 0), Optional.of(DISPATCHER), 0);
+        deliverToDispatcher(1);
+        mRequester.tick(Optional.of(new InstanceId("other")), 10);
+        deliverToDispatcher(11);
+        mDispatcher.takeOutbox();
+        mRequester.tick(Optional.of(DISPATCHER), 20);
+        deliverToDispatcher(21);
+        assertThat(deliverToRequester(22)).hasSize(1);
+        assertThat(servedTokens(mDispatcher, 22)).containsOnlyKeys(new WorkspaceId("w"));
+    }
+
     @Test
     void takesBackAGrantForAnUpstreamThatTheRequesterDoesNotList() {
         mRequester.scheduler().setUpstreams(List.of(), 0);
