--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -107,7 +107,9 @@
             load.updatePeer(instance, ofLoad, use.aggregate(), nowMillis);
         }
         mServed.updatePeer(instance, use.servedTokens(), nowMillis);
-        mPeerQueues.updatePeer(instance, use, !use.aggregate(), nowMillis);
+        // Only the dispatcher is sent each change.
+        boolean reportsChanges = !use.aggregate() && mLoads.isDispatcher();
+        mPeerQueues.updatePeer(instance, use, reportsChanges, nowMillis);
     }
 
     /** Returns this instance's own use, for its reports to other instances. */
@@ -180,20 +182,23 @@
     public Optional<Ticket> startGranted(PoolJob job, PoolDecision.Start start, long nowMillis) {
         return mLoads.find(start.upstream())
                 .filter(load -> !mPauses.isPaused(job, load, nowMillis))
-                .map(load -> startGranted(load, job, start, nowMillis));
+                .map(
+                        load -> {
+                            Ticket ticket = Ticket.ofGrant(load.upstream(), job, start, nowMillis);
+                            load.addStarted(ticket, job.prompt().parts());
+                            return ticket;
+                        });
     }
 
-    private static Ticket startGranted(
-            UpstreamLoad load, PoolJob job, PoolDecision.Start start, long nowMillis) {
-        Ticket ticket =
-                new Ticket(
-                        load.upstream(),
-                        start.newTokens(),
-                        PlacementPolicy.memoryTokens(job, start.newTokens()),
-                        start.aheadTokens(),
-                        nowMillis);
-        load.addStarted(ticket, job.prompt().parts());
-        return ticket;
+    /** Takes back a grant to another instance, which starts nothing by it. */
+    void revokeGrant(PoolAction.Start start, long nowMillis) {
+        load(start.ticket()).ifPresent(load -> load.removeGranted(start.ticket()));
+        PoolJob job = start.job();
+        mServed.remove(
+                job.account(),
+                job.prompt().costTokens(),
+                start.ticket().startedMillis(),
+                nowMillis);
     }
 
     /** Records that an instance's reports include all its grants up to a number. */
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServicePool.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServicePool.java
@@ -20,17 +20,18 @@
     private final PoolScheduler mScheduler;
     private final PendingQueries mQueries = new PendingQueries();
     private final String mService;
-    private final Map<QueryKey, PoolDecision> mDecisions =
+    private final Map<QueryKey, KeptDecision> mDecisions =
             new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1L;
 
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<QueryKey, PoolDecision> eldest) {
+                protected boolean removeEldestEntry(Map.Entry<QueryKey, KeptDecision> eldest) {
                     return size() > MAX_KEPT_DECISIONS;
                 }
             };
     private final Map<InstanceId, Long> mHighestGrants = new LinkedHashMap<>();
     private final List<PoolMessage> mOutbox = new ArrayList<>();
+    private QueryCounts mQueryCounts = QueryCounts.NONE;
 
     /** Creates an instance's part of a pool. */
     public ServicePool(String service, PoolScheduler scheduler) {
@@ -53,6 +54,13 @@
         return Optional.ofNullable(mHighestGrants.get(dispatcher));
     }
 
+    /** Returns how queries ended since the last call. */
+    public QueryCounts takeQueryCounts() {
+        QueryCounts counts = mQueryCounts;
+        mQueryCounts = QueryCounts.NONE;
+        return counts;
+    }
+
     /** Returns whether there are messages to send. */
     public boolean hasMessages() {
         return !mOutbox.isEmpty();
@@ -96,9 +104,9 @@
      */
     public List<PoolAction> receiveQuery(InstanceId requester, PoolJob job, long nowMillis) {
         QueryKey key = new QueryKey(requester, job.queryId());
-        PoolDecision earlier = mDecisions.get(key);
+        KeptDecision earlier = mDecisions.get(key);
         if (earlier != null) {
-            queueReply(requester, earlier);
+            queueReply(requester, earlier.decision());
             return List.of();
         }
         List<PoolAction> actions = List.of();
@@ -111,9 +119,16 @@
         return actions;
     }
 
-    /** Processes the withdrawal of another instance's query. */
-    public void receiveWithdrawal(InstanceId requester, long queryId) {
+    /**
+     * Processes the withdrawal of another instance's query. A grant on it starts nothing, so it is
+     * taken back.
+     */
+    public void receiveWithdrawal(InstanceId requester, long queryId, long nowMillis) {
         mScheduler.findWaiting(requester, queryId).ifPresent(mScheduler::withdraw);
+        KeptDecision kept = mDecisions.remove(new QueryKey(requester, queryId));
+        if (kept != null && kept.action() instanceof PoolAction.Start grant) {
+            mScheduler.revokeGrant(grant, nowMillis);
+        }
     }
 
     /**
@@ -126,10 +141,14 @@
             mQueries.acknowledge(queued.queryId(), nowMillis);
             return List.of();
         }
+        Optional<PoolJob> job = mQueries.remove(decision.queryId(), dispatcher);
         if (decision instanceof PoolDecision.Start start) {
+            boolean repeated = mHighestGrants.getOrDefault(dispatcher, 0L) >= start.grant();
+            if (job.isEmpty() && !repeated) {
+                mQueryCounts = mQueryCounts.withUnusedGrant();
+            }
             mHighestGrants.merge(dispatcher, start.grant(), Math::max);
         }
-        Optional<PoolJob> job = mQueries.remove(decision.queryId());
         if (job.isEmpty()) {
             return List.of();
         }
@@ -141,6 +160,7 @@
         Optional<Ticket> ticket = mScheduler.startGranted(job.get(), start, nowMillis);
         if (ticket.isEmpty()) {
             // The dispatcher chose an upstream that is not, or no longer, listed here.
+            mOutbox.add(new PoolMessage.Withdrawal(dispatcher, mService, start.queryId()));
             return localActions(mScheduler.submit(job.get(), nowMillis));
         }
         return List.of(new PoolAction.Start(job.get(), ticket.get(), start.grant(), start.cause()));
@@ -152,11 +172,12 @@
      */
     public List<PoolAction> tick(Optional<InstanceId> dispatcher, long nowMillis) {
         List<PoolAction> actions = new ArrayList<>();
-        List<PoolJob> resend = new ArrayList<>();
-        for (PoolJob job : mQueries.takeTimedOut(dispatcher, resend, nowMillis)) {
+        PendingQueries.QueriesDue due = mQueries.takeDue(dispatcher, nowMillis);
+        mOutbox.addAll(due.messages());
+        mQueryCounts = mQueryCounts.withDecidedLocally(due.undecided().size());
+        for (PoolJob job : due.undecided()) {
             actions.addAll(localActions(mScheduler.submit(job, nowMillis)));
         }
-        resend.forEach(job -> mOutbox.add(new PoolMessage.Query(dispatcher.orElseThrow(), job)));
         actions.addAll(localActions(mScheduler.tick(nowMillis)));
         return actions;
     }
@@ -174,7 +195,7 @@
             } else {
                 PoolDecision decision = decision(action);
                 QueryKey key = new QueryKey(requester.get(), decision.queryId());
-                mDecisions.put(key, decision);
+                mDecisions.put(key, new KeptDecision(decision, action));
                 queueReply(requester.get(), decision);
             }
         }
@@ -202,4 +223,7 @@
     }
 
     private record QueryKey(InstanceId requester, long queryId) {}
+
+    /** A decision that was sent, and what it stands for here. */
+    private record KeptDecision(PoolDecision decision, PoolAction action) {}
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -43,9 +43,6 @@
     /** The delay until waiting requests are evaluated again, in milliseconds. */
     private static final long POOL_TICK_DELAY_MILLIS = 10;
 
-    /** The interval at which reports due to other instances are sent, in milliseconds. */
-    private static final long PEER_TICK_INTERVAL_MILLIS = 50;
-
     /** The interval of checks for stalled streams and idle connections, in milliseconds. */
     private static final long SWEEP_INTERVAL_MILLIS = 200;
 
@@ -137,8 +134,8 @@
         runOnEventLoop("store.start", this::startStoreReading);
         mLoop.scheduleWithFixedDelay(
                 () -> mGuard.run("peers.tick", this::peerTick),
-                PEER_TICK_INTERVAL_MILLIS,
-                PEER_TICK_INTERVAL_MILLIS,
+                PeerSocket.TICK_INTERVAL_MILLIS,
+                PeerSocket.TICK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         mLoop.scheduleWithFixedDelay(
                 () -> mGuard.run("sweep", this::sweep),
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -49,18 +49,12 @@
     /** Maximum datagram size; a datagram larger than the receive buffer would be truncated. */
     private static final int MAX_DATAGRAM_BYTES = 65_535;
 
-    /** Gap between ticks beyond which this instance counts as stalled, in milliseconds. */
-    private static final long MAX_TICK_GAP_MILLIS = 1_000;
+    /** The interval of ticks, in milliseconds. */
+    public static final long TICK_INTERVAL_MILLIS = 50;
 
     /** How long use changes and replies are delayed to be batched, in milliseconds. */
     private static final long FLUSH_DELAY_MILLIS = 10;
 
-    /** How long after its start an instance declines the dispatcher role, in milliseconds. */
-    private static final long STARTUP_MILLIS = 3_000;
-
-    /** How long after a stall an instance declines the dispatcher role, in milliseconds. */
-    private static final long STALL_RECOVERY_MILLIS = 2_000;
-
     private final EventLoopGroup mGroup;
     private final GatewaySettings mSettings;
     private final Pools mPools;
@@ -74,13 +68,11 @@
     private final StorePeers mStorePeers;
     private final NoticeExchange mNotices;
     private final long mStartedMillis;
+    private final DispatcherRole mRole;
     private InstanceId mDispatcher;
-    private long mLastTickMillis;
     private Channel mChannel;
     private boolean mFlushScheduled;
     private boolean mDelayedFlushScheduled;
-    private boolean mStopping;
-    private long mLastStallMillis = Long.MIN_VALUE / 2;
     private long mSequence;
     private int mLiveCount;
 
@@ -113,6 +105,7 @@
         mRateLimits = rateLimits;
         mStorePeers = storePeers;
         mStartedMillis = clockMillis.getAsLong();
+        mRole = new DispatcherRole(log, TICK_INTERVAL_MILLIS, mStartedMillis);
         // All instances listen on the same peer port; a seed's address names another of its ports.
         List<String> seeds = new ArrayList<>();
         for (AddressPort seed : settings.seeds()) {
@@ -140,7 +133,8 @@
                         .channel(NioDatagramChannel.class)
                         .option(
                                 ChannelOption.RCVBUF_ALLOCATOR,
-                                new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
+                                new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES)
+                                        .maxMessagesPerRead(DispatcherRole.MAX_MESSAGES_PER_READ))
                         .handler(new PacketHandler())
                         .bind(mSettings.peerAddress().socketAddress())
                         .sync()
@@ -150,7 +144,8 @@
 
     /** Sends the reports that are due and updates the dispatcher role and the live count. */
     public void tick(long nowMillis) {
-        updateDispatcherEligibility(nowMillis);
+        mRole.tick(nowMillis);
+        updateDeclinesRole(nowMillis);
         flush(mTable.reportsDue(nowMillis), nowMillis);
         updateLiveCount(nowMillis);
     }
@@ -200,9 +195,12 @@
      */
     public void sendStoreUpdate() {
         long nowMillis = mClockMillis.getAsLong();
-        if (!isDispatcher(nowMillis)) {
-            return;
+        if (isDispatcher(nowMillis)) {
+            sendToAll(nowMillis);
         }
+    }
+
+    private void sendToAll(long nowMillis) {
         Map<String, PendingReport> targets = new HashMap<>();
         for (String address : mTable.directAddresses(nowMillis)) {
             PendingReport target = PendingReport.storeUpdate(address);
@@ -212,30 +210,23 @@
         send(targets, nowMillis);
     }
 
-    /**
-     * Declines the dispatcher role from now on, so that others take over before this one stops.
-     * Reports announce this: those with the store update at once, if the cached dispatcher is still
-     * this instance, or else the next ones that are due.
-     */
+    /** Declines the dispatcher role from now on, so that others take over before this one stops. */
     public void beginStop() {
-        mStopping = true;
-        mTable.setDeclinesDispatcherRole(true);
-        sendStoreUpdate();
+        mRole.beginStop();
+        updateDeclinesRole(mClockMillis.getAsLong());
     }
 
     /**
-     * Detects stalls, and declines the dispatcher role while stopping, after the start and after a
-     * stall. An instance that has just stalled is a poor dispatcher for some time.
+     * Updates whether this instance declines the dispatcher role. If the dispatcher begins to
+     * decline it, the others are told at once, or else by the next reports that are due.
      */
-    private void updateDispatcherEligibility(long nowMillis) {
-        if (mLastTickMillis > 0 && nowMillis - mLastTickMillis > MAX_TICK_GAP_MILLIS) {
-            mLastStallMillis = nowMillis;
-            mLog.line("instance.held-up").with("millis", nowMillis - mLastTickMillis).log();
+    private void updateDeclinesRole(long nowMillis) {
+        boolean declines = mRole.isDeclined(nowMillis);
+        boolean announced = declines && !mTable.declinesDispatcherRole() && isDispatcher(nowMillis);
+        mTable.setDeclinesDispatcherRole(declines);
+        if (announced) {
+            sendToAll(nowMillis);
         }
-        mLastTickMillis = nowMillis;
-        boolean starting = nowMillis - mStartedMillis < STARTUP_MILLIS;
-        mTable.setDeclinesDispatcherRole(
-                mStopping || starting || nowMillis - mLastStallMillis < STALL_RECOVERY_MILLIS);
     }
 
     /**
@@ -411,8 +402,14 @@
     }
 
     private final class PacketHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            mRole.readCompleted(mClockMillis.getAsLong());
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            mRole.messageRead();
             byte[] bytes = new byte[packet.content().readableBytes()];
             packet.content().readBytes(bytes);
             UsePacketCodec.decode(bytes, mSettings.instance(), mClockMillis.getAsLong())
