Name one upstream as leaving in LeavingUpstreamPathTest, also after a resume

tellsTheDispatcher failed once at load 41 (2.6 s): the stream made no progress for 800 ms, so it was resumed at a second upstream, which the script then took for the leaving one. Now only the first upstream that gets the stream states it; the test checks as much as before.

--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/LeavingUpstreamPathTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/LeavingUpstreamPathTest.java
@@ -37,10 +37,9 @@
         }
         String id = GatewayFleet.requestId(request);
         String start = STREAM_START.formatted(id);
-        if (id.equals("first")) {
-            mLeaving.set(upstream);
-        }
-        FakeServer.write(socket, id.equals("first") ? start : start.replace("Leaving: 1\r\n", ""));
+        // The stream may be resumed at another upstream, which is not leaving.
+        boolean leaves = id.equals("first") && mLeaving.compareAndSet(-1, upstream);
+        FakeServer.write(socket, leaves ? start : start.replace("Leaving: 1\r\n", ""));
         GatewayFleet.await(mMayEnd);
         FakeServer.write(socket, STREAM_END);
         return false;
