--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -121,11 +121,12 @@
         mContext.counters().countReceived();
         Relay relay = new Relay(mContext, mPools, this, head, body, response);
         mInFlight.add(relay);
-        relay.guard().run(() -> admitOrReject(relay, head, arrivedMillis));
+        relay.guard().run(() -> admitOrReject(relay, head, body, arrivedMillis));
         return relay;
     }
 
-    private void admitOrReject(Relay relay, HttpRequest head, long arrivedMillis) {
+    private void admitOrReject(
+            Relay relay, HttpRequest head, ByteBuf body, long arrivedMillis) {
         Optional<RequestHead> parsedHead = mContext.dialect().readRequest(head);
         Optional<TrafficConfig> config = mContext.config();
         if (parsedHead.isEmpty()) {
