--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/IdleConnectionLosesRequestTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/IdleConnectionLosesRequestTest.java
@@ -64,6 +64,7 @@
                         new UpstreamDirectory(),
                         context.quarantine(),
                         context.rateLimits(),
+                        context.pauses(),
                         relays::execute));
         mServer = new CallerServer(mGroup, relays, log, mClockMillis::get);
         setIdleTimeout(IDLE_MILLIS);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/UnmatchedPoolActionTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/UnmatchedPoolActionTest.java
@@ -22,6 +22,7 @@
 import org.magnoliapick.pool.PoolJob;
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.UpstreamDirectory;
+import org.magnoliapick.relay.Fingerprint;
 import org.magnoliapick.relay.FleetRetryBudget;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.RelayRequest;
@@ -62,6 +63,7 @@
                         new UpstreamDirectory(),
                         context.quarantine(),
                         context.rateLimits(),
+                        context.pauses(),
                         relays::execute));
         PoolAction action = new PoolAction.Refuse(job(), 1, PoolCause.TOO_LATE);
         assertThatCode(() -> relays.execute(action)).doesNotThrowAnyException();
@@ -89,6 +91,7 @@
                         "s",
                         Optional.empty(),
                         Prompt.UNKNOWN,
+                        Fingerprint.UNKNOWN,
                         OptionalLong.empty(),
                         0,
                         0,
