--- a/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -158,4 +158,40 @@
             assertThat(UsePacketCodec.decode(cut, TO, 1_000)).isNotNull();
         }
     }
+
+    /** An instance with an older build sends no fingerprint. */
+    @Test
+    void readsAQueryWithoutAFingerprint() {
+        PoolJob job = job();
+        PoolJob withoutFingerprint =
+                new PoolJob(
+                        job.id(),
+                        job.service(),
+                        job.account(),
+                        job.domain(),
+                        job.prompt(),
+                        Fingerprint.UNKNOWN,
+                        job.objectiveMillis(),
+                        job.dueMillis(),
+                        job.callerRetry(),
+                        job.excluded(),
+                        job.unreachable(),
+                        job.answerStarted(),
+                        job.rank(),
+                        job.submittedMillis(),
+                        job.requester(),
+                        job.queryId());
+        InstancePacket packet =
+                new InstancePacket(
+                        FROM,
+                        "1:1",
+                        Optional.empty(),
+                        Map.of(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        List.of(new PoolMessage.Query(TO, withoutFingerprint)));
+        byte[] bytes = UsePacketCodec.encode(packet, 1_000);
+        assertThat(UsePacketCodec.decode(bytes, TO, 1_000)).contains(packet);
+    }
 }
