Keep guards from failing together with the log

Cause, by reading: a second fault, in the line that logs the first one, left the guard, and the series of tasks ended after all; a request whose fault could not be logged got no answer. The test provokes both, since the log reads the clock. Change: a fault of the log is contained and counted in the next line. A version of the configuration counts as in force only once it was applied, so that a fault in between does not skip it.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/log/FaultGuard.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/log/FaultGuard.java
@@ -7,6 +7,9 @@
 public final class FaultGuard {
     private final EventLog mLog;
 
+    /** The number of faults that could not be logged, because the log failed as well. */
+    private int mUnlogged;
+
     /** Creates a guard that logs faults. */
     public FaultGuard(EventLog log) {
         mLog = log;
@@ -18,8 +21,21 @@
             step.run();
             return true;
         } catch (RuntimeException | Error e) {
-            mLog.line("step.fault").with("step", name).withFault(e).log();
+            log(name, e);
             return false;
         }
     }
+
+    private void log(String name, Throwable fault) {
+        try {
+            mLog.line("step.fault")
+                    .with("step", name)
+                    .withFault(fault)
+                    .with("unloggedBefore", mUnlogged)
+                    .log();
+            mUnlogged = 0;
+        } catch (RuntimeException | Error e) {
+            mUnlogged++;
+        }
+    }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayGuard.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayGuard.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.magnoliapick.gateway.internal.http.ResponseListener;
 import org.magnoliapick.gateway.internal.log.EventLog;
+import org.magnoliapick.gateway.internal.log.FaultGuard;
 import org.magnoliapick.request.AttemptEnd;
 
 /**
@@ -41,11 +42,16 @@
     }
 
     private void logFault(Throwable fault) {
-        mLog.line("request.fault")
-                .with("request", mRelay.requestId())
-                .with("path", mPath)
-                .withFault(fault)
-                .log();
+        // The request gets an answer even if the log fails.
+        new FaultGuard(mLog)
+                .run(
+                        "request.fault",
+                        () ->
+                                mLog.line("request.fault")
+                                        .with("request", mRelay.requestId())
+                                        .with("path", mPath)
+                                        .withFault(fault)
+                                        .log());
     }
 
     /** Returns a listener that passes the response of an upstream on in guarded steps. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigHandler.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/store/ConfigHandler.java
@@ -97,6 +97,8 @@
                     .log();
             return;
         }
+        // After a fault in this step the version is applied once more.
+        mSink.accept(config);
         mVersion = config.version();
         mStoreRelay.configInForce(mVersion, mClockMillis.getAsLong());
         mLog.line("config.in-force")
@@ -104,7 +106,6 @@
                 .with("offset", offset)
                 .with("routes", config.routes().all().size())
                 .log();
-        mSink.accept(config);
     }
 
     @Override
