--- a/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -232,6 +232,7 @@
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty(),
+                        UpstreamNotices.NONE,
                         List.of(new PoolMessage.Query(TO, withoutFingerprint)));
         byte[] bytes = UsePacketCodec.encode(packet, 1_000);
         assertThat(UsePacketCodec.decode(bytes, TO, 1_000)).contains(packet);
