--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -125,8 +125,7 @@
         return relay;
     }
 
-    private void admitOrReject(
-            Relay relay, HttpRequest head, ByteBuf body, long arrivedMillis) {
+    private void admitOrReject(Relay relay, HttpRequest head, ByteBuf body, long arrivedMillis) {
         Optional<RequestHead> parsedHead = mContext.dialect().readRequest(head);
         Optional<TrafficConfig> config = mContext.config();
         if (parsedHead.isEmpty()) {
