Exchange all versioned updates by one mechanism

Suspected prompt parts and rate limits had an exchange with methods of their own beside the one of leaving upstreams and pauses. They become subjects of UpdateSubject; the report holds one map of known versions. The codec maps it to the same Thrift fields as before, so the bytes on the wire are the same. The engines of FakeFleet and the parts that crash them move to FakeEngines.

UsePacketCodecTest: the versions of a packet without the notice fields are now those of the two older subjects, compared exactly, instead of an empty map.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
@@ -41,8 +41,6 @@
     private long mReceivedMillis = NEVER;
     private long mSentMillis = NEVER;
     private long mMembersSentMillis = NEVER;
-    private final UpdateExchange mSuspects = new UpdateExchange();
-    private final UpdateExchange mRateLimits = new UpdateExchange();
     private final Map<UpdateSubject, UpdateExchange> mExchanges =
             new EnumMap<>(UpdateSubject.class);
     private long mFirstUnansweredMillis;
@@ -68,8 +66,6 @@
             return false;
         }
         if (mReport.filter(each -> each.startedMillis() != report.startedMillis()).isPresent()) {
-            mSuspects.received(0);
-            mRateLimits.received(0);
             mExchanges.values().forEach(each -> each.received(0));
         }
         setMember(report.sender());
@@ -112,31 +108,11 @@
         mMembersSentMillis = nowMillis;
     }
 
-    /** Returns the state of the exchange on suspected prompt parts. */
-    UpdateExchange suspects() {
-        return mSuspects;
-    }
-
-    /** Returns the state of the exchange on rate limits. */
-    UpdateExchange rateLimits() {
-        return mRateLimits;
-    }
-
     /** Returns the state of the exchange on a subject. */
     UpdateExchange exchange(UpdateSubject subject) {
         return mExchanges.get(subject);
     }
 
-    /** Returns the version up to which the instance knows this one's suspected prompt parts. */
-    long knownSuspectsVersion() {
-        return mReport.map(InstanceReport::suspectsVersion).orElse(0L);
-    }
-
-    /** Returns the version up to which the instance knows this one's rate limits. */
-    long knownRateLimitsVersion() {
-        return mReport.map(InstanceReport::limitsVersion).orElse(0L);
-    }
-
     /** Returns whether the instance does not reply, or did not until recently. */
     boolean isSuspect(long nowMillis) {
         if (mUnanswered >= SUSPECT_AFTER_REQUESTS
--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
@@ -9,14 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Function;
 import org.magnoliapick.lib.InstanceId;
-import org.magnoliapick.limit.RateLimitUpdate;
-import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.pool.FleetShare;
 import org.magnoliapick.pool.InstanceReport;
-import org.magnoliapick.quarantine.PromptQuarantine;
-import org.magnoliapick.quarantine.SuspectUpdate;
 
 /**
  * Tracks the other instances, chooses the dispatcher of this instance and schedules its reports.
@@ -396,68 +391,6 @@
         return versions;
     }
 
-    /** Records the version of an instance's suspected prompt parts that was received. */
-    public void suspectsReceived(String address, long version) {
-        Optional.ofNullable(mPeers.get(address))
-                .ifPresent(peer -> peer.suspects().received(version));
-    }
-
-    /** Records the version of an instance's rate limits that was received. */
-    public void rateLimitsReceived(String address, long version) {
-        Optional.ofNullable(mPeers.get(address))
-                .ifPresent(peer -> peer.rateLimits().received(version));
-    }
-
-    /** Returns the version of an instance's rate limits that was received last. */
-    public long receivedRateLimitsVersion(String address) {
-        Peer peer = mPeers.get(address);
-        return peer == null ? 0 : peer.rateLimits().receivedVersion();
-    }
-
-    /** Returns the version of an instance's suspected prompt parts that was received last. */
-    public long receivedSuspectsVersion(String address) {
-        Peer peer = mPeers.get(address);
-        return peer == null ? 0 : peer.suspects().receivedVersion();
-    }
-
-    /**
-     * Returns the update on suspected prompt parts for an instance and marks it as sent; empty if
-     * the instance is unknown, lacks nothing or was sent an update recently.
-     */
-    public Optional<SuspectUpdate> suspectsToSend(
-            String address, PromptQuarantine quarantine, long nowMillis) {
-        return updateToSend(
-                address,
-                Peer::suspects,
-                peer -> quarantine.updateFor(peer.knownSuspectsVersion()),
-                nowMillis);
-    }
-
-    /** Returns the update on rate limits for an instance in the same way. */
-    public Optional<RateLimitUpdate> rateLimitsToSend(
-            String address, RateLimits limits, long nowMillis) {
-        return updateToSend(
-                address,
-                Peer::rateLimits,
-                peer -> limits.updateFor(peer.knownRateLimitsVersion()),
-                nowMillis);
-    }
-
-    private <T> Optional<T> updateToSend(
-            String address,
-            Function<Peer, UpdateExchange> exchange,
-            Function<Peer, Optional<T>> update,
-            long nowMillis) {
-        Optional<Peer> peer =
-                Optional.ofNullable(mPeers.get(address))
-                        .filter(each -> exchange.apply(each).mayBeSent(nowMillis));
-        Optional<T> toSend = peer.flatMap(update);
-        if (toSend.isPresent()) {
-            peer.map(exchange).ifPresent(each -> each.sent(nowMillis));
-        }
-        return toSend;
-    }
-
     /**
      * Returns the part of the fleet for which this instance decides: if it is the dispatcher, the
      * instances from which it recently received a message and the cells whose dispatchers it
--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/UpdateExchange.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/UpdateExchange.java
@@ -14,15 +14,6 @@
 
     UpdateExchange() {}
 
-    /** Returns whether the last update was sent long enough ago. */
-    boolean mayBeSent(long nowMillis) {
-        return nowMillis - mSentMillis >= PERIOD_MILLIS;
-    }
-
-    void sent(long nowMillis) {
-        mSentMillis = nowMillis;
-    }
-
     /** Records the version of the instance that was received; 0 after its restart. */
     public void received(long version) {
         mReceivedVersion = version;
@@ -44,11 +35,13 @@
      * @param updateFor returns the update for an instance that knows a version
      */
     public <T> Optional<T> toSend(LongFunction<Optional<T>> updateFor, long nowMillis) {
-        if (!mayBeSent(nowMillis)) {
+        if (nowMillis - mSentMillis < PERIOD_MILLIS) {
             return Optional.empty();
         }
         Optional<T> update = updateFor.apply(mKnownVersion);
-        update.ifPresent(each -> sent(nowMillis));
+        if (update.isPresent()) {
+            mSentMillis = nowMillis;
+        }
         return update;
     }
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstanceReport.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/InstanceReport.java
@@ -18,11 +18,8 @@
  * @param pools the sender's use of each service, if the receiver needs it
  * @param knownDigest the digest of the members that the sender last received from the receiver
  * @param storePosition up to where the sender knows the store's logs
- * @param suspectsVersion the version up to which the sender knows the receiver's suspected prompt
- *     parts
- * @param limitsVersion the version up to which the sender knows the receiver's rate limits
- * @param knownVersions the versions up to which the sender knows the receiver's updates on other
- *     subjects
+ * @param knownVersions the versions up to which the sender knows the receiver's updates on each
+ *     subject
  * @param members the instances from which the sender receives messages itself; empty if the
  *     receiver knows them
  */
@@ -35,8 +32,6 @@
         List<PoolUse> pools,
         long knownDigest,
         StorePosition storePosition,
-        long suspectsVersion,
-        long limitsVersion,
         Map<UpdateSubject, Long> knownVersions,
         List<Member> members) {
     /** Copies the collections. */
--- a/magnoliapick-core/src/test/java/org/magnoliapick/member/PeerTableTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/member/PeerTableTest.java
@@ -86,8 +86,6 @@
                         List.of(),
                         sender.receivedDigest(to),
                         StorePosition.UNKNOWN,
-                        0,
-                        0,
                         sender.receivedVersions(to),
                         pending.isReply() ? sender.membersToSend(to, mNowMillis) : List.of());
         boolean connected = mCutOff.contains(from) == mCutOff.contains(to);
@@ -161,8 +159,6 @@
                 List.of(),
                 0,
                 StorePosition.UNKNOWN,
-                0,
-                0,
                 knownVersions,
                 List.of());
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
@@ -1,7 +1,6 @@
 package org.magnoliapick.pool;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,9 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.magnoliapick.lib.InstanceId;
-import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.relay.FleetRetryBudget;
-import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.relay.RelayAttempts;
 import org.magnoliapick.relay.RelayRequest;
 import org.magnoliapick.relay.RelayStep;
@@ -36,12 +33,10 @@
 
     private final VirtualTime mTime = new VirtualTime();
     private final List<Instance> mInstances = new ArrayList<>();
-    private final Map<UpstreamId, FakeEngine> mEngines = new LinkedHashMap<>();
-    private final Set<String> mPoison = new HashSet<>();
+    private final FakeEngines mEngines = new FakeEngines();
     private final Set<Instance> mCut = new HashSet<>();
     private final Random mRandom;
     private long mLastNumber;
-    private final Map<String, List<Long>> mCrashMillis = new HashMap<>();
 
     /** The number of instances that share a dispatcher. */
     private final int mCellSize;
@@ -66,7 +61,7 @@
 
     /** Makes engines crash that begin to answer a request with a part, also one of its own. */
     void poison(String part) {
-        mPoison.add(part);
+        mEngines.poison(part);
     }
 
     long nowMillis() {
@@ -83,7 +78,7 @@
 
     /** Returns when engines crashed because of a part, in order. */
     List<Long> crashMillis(String part) {
-        return mCrashMillis.getOrDefault(part, List.of());
+        return mEngines.crashMillis(part);
     }
 
     /** Runs an action at a time. */
@@ -147,7 +142,7 @@
 
     /** Returns one of the engines, by the order in which they were added. */
     FakeEngine engine(int number) {
-        return List.copyOf(mEngines.values()).get(number);
+        return mEngines.all().get(number);
     }
 
     /** Returns the number of parts or fingerprints that an instance has in quarantine. */
@@ -157,21 +152,17 @@
 
     /** Lets requests with a part pass again without harm. */
     void cure(String part) {
-        mPoison.remove(part);
+        mEngines.cure(part);
     }
 
     /** Crashes an engine for a reason that has nothing to do with its requests. */
     void crashAnyEngine() {
-        List<FakeEngine> running =
-                mEngines.values().stream().filter(each -> each.isRunning()).toList();
-        if (!running.isEmpty()) {
-            crash(running.get(mRandom.nextInt(running.size())));
-        }
+        mEngines.anyRunning(mRandom).ifPresent(this::crash);
     }
 
     private FakeEngine addEngine() {
         FakeEngine engine = new FakeEngine(Jobs.upstream("engine-" + ++mLastNumber));
-        mEngines.put(engine.upstream().id(), engine);
+        mEngines.add(engine);
         return engine;
     }
 
@@ -189,7 +180,7 @@
         mTime.after(
                 DELIST_MILLIS,
                 () -> {
-                    mEngines.remove(engine.upstream().id());
+                    mEngines.remove(engine);
                     listEngines();
                 });
         mTime.after(
@@ -225,12 +216,12 @@
         /** Sets the engines that may get new requests as far as the instance knows. */
         private void listEngines() {
             List<ListedUpstream> usable =
-                    mEngines.values().stream()
+                    mEngines.all().stream()
                             .map(FakeEngine::upstream)
                             .filter(each -> !mKnowledge.leaving().contains(each))
                             .toList();
             mPool.scheduler().setUpstreams(usable, mTime.nowMillis());
-            mPool.scheduler().setAllLeaving(usable.isEmpty() && !mEngines.isEmpty());
+            mPool.scheduler().setAllLeaving(usable.isEmpty() && !mEngines.all().isEmpty());
         }
 
         private Instance cellDispatcher() {
@@ -415,11 +406,13 @@
                 release(Optional.of(AttemptEnd.CANCELLED));
                 return;
             }
-            FakeEngine engine = mEngines.get(ticket.upstream().id());
-            if (engine == null || !engine.isRunning()) {
+            Optional<FakeEngine> running =
+                    mEngines.find(ticket.upstream().id()).filter(FakeEngine::isRunning);
+            if (running.isEmpty()) {
                 mTime.after(MESSAGE_MILLIS, () -> ended(Optional.of(AttemptEnd.NOT_SENT)));
                 return;
             }
+            FakeEngine engine = running.get();
             mSentMillis.add(mTime.nowMillis());
             mAttempts.sent(ticket.upstream().id());
             engine.arrive(this, mTime.nowMillis());
@@ -440,15 +433,9 @@
             if (!engine.requests().contains(this)) {
                 return;
             }
-            Optional<String> poison =
-                    mRequest.prompt().parts().stream()
-                            .map(PromptPart::id)
-                            .filter(mPoison::contains)
-                            .findFirst();
+            Optional<String> poison = mEngines.poisonPart(mRequest);
             if (poison.isPresent()) {
-                mCrashMillis
-                        .computeIfAbsent(poison.get(), part -> new ArrayList<>())
-                        .add(mTime.nowMillis());
+                mEngines.recordCrash(poison.get(), mTime.nowMillis());
                 crash(engine);
                 return;
             }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/PeerSocket.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import org.magnoliapick.gateway.AddressPort;
 import org.magnoliapick.gateway.GatewaySettings;
@@ -30,6 +31,7 @@
 import org.magnoliapick.member.PeerTable;
 import org.magnoliapick.member.PendingReport;
 import org.magnoliapick.member.StoreRelay;
+import org.magnoliapick.member.UpdateSubject;
 import org.magnoliapick.pool.FleetShare;
 import org.magnoliapick.pool.InstancePacket;
 import org.magnoliapick.pool.InstanceReport;
@@ -320,9 +322,19 @@
                                                 mStoreRelay.updateFor(
                                                         mTable.storePosition(address), nowMillis)),
                         target.flatMap(
-                                each -> mTable.suspectsToSend(address, mQuarantine, nowMillis)),
+                                each ->
+                                        toSend(
+                                                address,
+                                                UpdateSubject.SUSPECTS,
+                                                mQuarantine::updateFor,
+                                                nowMillis)),
                         target.flatMap(
-                                each -> mTable.rateLimitsToSend(address, mRateLimits, nowMillis)),
+                                each ->
+                                        toSend(
+                                                address,
+                                                UpdateSubject.RATE_LIMITS,
+                                                mRateLimits::updateFor,
+                                                nowMillis)),
                         target.map(each -> mNotices.toSend(each, nowMillis))
                                 .orElse(UpstreamNotices.NONE),
                         messages);
@@ -333,6 +345,19 @@
                 mChannel.voidPromise());
     }
 
+    /** Returns the update on a subject that the instance at an address lacks. */
+    private <T> Optional<T> toSend(
+            String address,
+            UpdateSubject subject,
+            LongFunction<Optional<T>> updateFor,
+            long nowMillis) {
+        return mTable.exchange(address, subject).flatMap(each -> each.toSend(updateFor, nowMillis));
+    }
+
+    private void updateReceived(InstancePacket packet, UpdateSubject subject, long version) {
+        mTable.exchange(packet.address(), subject).ifPresent(each -> each.received(version));
+    }
+
     /** Returns by service the highest grant that was received from the instance at an address. */
     private Map<String, Long> acknowledgedGrants(String address) {
         Map<String, Long> grants = new HashMap<>();
@@ -355,8 +380,6 @@
                 poolUses(target.content(), nowMillis),
                 mTable.receivedDigest(target.address()),
                 mStoreRelay.position(),
-                mTable.receivedSuspectsVersion(target.address()),
-                mTable.receivedRateLimitsVersion(target.address()),
                 mTable.receivedVersions(target.address()),
                 target.isReply() ? mTable.membersToSend(target.address(), nowMillis) : List.of());
     }
@@ -389,13 +412,13 @@
                 .ifPresent(
                         update -> {
                             mQuarantine.applyUpdate(update, nowMillis);
-                            mTable.suspectsReceived(packet.address(), update.version());
+                            updateReceived(packet, UpdateSubject.SUSPECTS, update.version());
                         });
         packet.rateLimits()
                 .ifPresent(
                         update -> {
                             mRateLimits.applyUpdate(update, packet.from().value());
-                            mTable.rateLimitsReceived(packet.address(), update.version());
+                            updateReceived(packet, UpdateSubject.RATE_LIMITS, update.version());
                         });
         mNotices.receive(packet, nowMillis);
         mPools.receive(packet, reportIsNew, nowMillis);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/peer/PeerSocketTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/peer/PeerSocketTest.java
@@ -117,8 +117,6 @@
                         List.of(),
                         0,
                         StorePosition.UNKNOWN,
-                        0,
-                        0,
                         Map.of(),
                         known);
         InstancePacket packet =
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/NoticeCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/NoticeCodec.java
@@ -1,15 +1,12 @@
 package org.magnoliapick.rpc;
 
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.UpstreamIncarnation;
 import org.magnoliapick.limit.PauseUpdate;
 import org.magnoliapick.limit.UpstreamPause;
-import org.magnoliapick.member.UpdateSubject;
 import org.magnoliapick.pool.LeavingUpdate;
 import org.magnoliapick.pool.LeavingUpstream;
 import org.magnoliapick.pool.UpstreamNotices;
@@ -18,7 +15,6 @@
 import org.magnoliapick.rpc.gen.UsePacket;
 import org.magnoliapick.rpc.gen.UsePause;
 import org.magnoliapick.rpc.gen.UsePauses;
-import org.magnoliapick.rpc.gen.UseReport;
 
 /** Turns what upstreams stated about themselves into messages and back; times travel as spans. */
 final class NoticeCodec {
@@ -39,24 +35,6 @@
                         : Optional.empty());
     }
 
-    static void writeVersions(Map<UpdateSubject, Long> versions, UseReport message) {
-        Optional.ofNullable(versions.get(UpdateSubject.LEAVING))
-                .ifPresent(message::setLeavingVersion);
-        Optional.ofNullable(versions.get(UpdateSubject.PAUSES))
-                .ifPresent(message::setPausesVersion);
-    }
-
-    static Map<UpdateSubject, Long> readVersions(UseReport message) {
-        Map<UpdateSubject, Long> versions = new EnumMap<>(UpdateSubject.class);
-        if (message.isSetLeavingVersion()) {
-            versions.put(UpdateSubject.LEAVING, message.getLeavingVersion());
-        }
-        if (message.isSetPausesVersion()) {
-            versions.put(UpdateSubject.PAUSES, message.getPausesVersion());
-        }
-        return versions;
-    }
-
     private static UseLeaving leaving(LeavingUpdate update, long nowMillis) {
         UseLeaving message = new UseLeaving(update.version());
         for (LeavingUpstream each : update.upstreams()) {
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
@@ -2,9 +2,11 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
@@ -13,6 +15,7 @@
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.StorePosition;
 import org.magnoliapick.member.StoreUpdate;
+import org.magnoliapick.member.UpdateSubject;
 import org.magnoliapick.member.UpstreamChange;
 import org.magnoliapick.pool.InstanceReport;
 import org.magnoliapick.pool.PoolUse;
@@ -44,9 +47,7 @@
         message.setListOffset(report.storePosition().listOffset());
         message.setStoreEpoch(report.storePosition().epoch());
         message.setConfigVersion(report.storePosition().configVersion());
-        message.setSuspectsVersion(report.suspectsVersion());
-        message.setLimitsVersion(report.limitsVersion());
-        NoticeCodec.writeVersions(report.knownVersions(), message);
+        writeVersions(report.knownVersions(), message);
         if (report.wantsReply()) {
             message.setWantsReply(true);
         }
@@ -57,6 +58,32 @@
         return message;
     }
 
+    private static void writeVersions(Map<UpdateSubject, Long> versions, UseReport message) {
+        message.setSuspectsVersion(versions.getOrDefault(UpdateSubject.SUSPECTS, 0L));
+        message.setLimitsVersion(versions.getOrDefault(UpdateSubject.RATE_LIMITS, 0L));
+        Optional.ofNullable(versions.get(UpdateSubject.LEAVING))
+                .ifPresent(message::setLeavingVersion);
+        Optional.ofNullable(versions.get(UpdateSubject.PAUSES))
+                .ifPresent(message::setPausesVersion);
+    }
+
+    private static Map<UpdateSubject, Long> knownVersions(UseReport message) {
+        Map<UpdateSubject, Long> versions = new EnumMap<>(UpdateSubject.class);
+        if (message.isSetSuspectsVersion()) {
+            versions.put(UpdateSubject.SUSPECTS, message.getSuspectsVersion());
+        }
+        if (message.isSetLimitsVersion()) {
+            versions.put(UpdateSubject.RATE_LIMITS, message.getLimitsVersion());
+        }
+        if (message.isSetLeavingVersion()) {
+            versions.put(UpdateSubject.LEAVING, message.getLeavingVersion());
+        }
+        if (message.isSetPausesVersion()) {
+            versions.put(UpdateSubject.PAUSES, message.getPausesVersion());
+        }
+        return versions;
+    }
+
     private static UseMember member(Member member) {
         return new UseMember(
                 member.instance().value(),
@@ -162,9 +189,7 @@
                 pools,
                 message.getKnownDigest(),
                 storePosition(message),
-                message.getSuspectsVersion(),
-                message.getLimitsVersion(),
-                NoticeCodec.readVersions(message),
+                knownVersions(message),
                 members);
     }
 
--- a/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -144,9 +144,15 @@
                                 List.of(use),
                                 -9,
                                 new StorePosition(2, 10, 17),
-                                11,
-                                13,
-                                Map.of(UpdateSubject.LEAVING, 18L, UpdateSubject.PAUSES, 20L),
+                                Map.of(
+                                        UpdateSubject.SUSPECTS,
+                                        11L,
+                                        UpdateSubject.RATE_LIMITS,
+                                        13L,
+                                        UpdateSubject.LEAVING,
+                                        18L,
+                                        UpdateSubject.PAUSES,
+                                        20L),
                                 List.of(member))),
                 Map.of("s", 8L),
                 Optional.of(new StoreUpdate(2, 6, 9, 20, List.of(put, dropped), 3, 400)),
@@ -183,7 +189,8 @@
         message.getReport().unsetPausesVersion();
         InstancePacket read = UsePacketCodec.decode(bytes.write(message), TO, 1_000).orElseThrow();
         assertThat(read.notices()).isEqualTo(UpstreamNotices.NONE);
-        assertThat(read.report().orElseThrow().knownVersions()).isEmpty();
+        assertThat(read.report().orElseThrow().knownVersions())
+                .isEqualTo(Map.of(UpdateSubject.SUSPECTS, 11L, UpdateSubject.RATE_LIMITS, 13L));
         assertThat(read.messages()).isEqualTo(packet().messages());
     }
 
