Send no notices to instances of a former build

An instance of a build that does not know leaving upstreams or pauses never reports a version of them, and counted as one that knows nothing: the first 32 entries went to it with each report. Now nothing is sent on these subjects to an instance that reports no version; this build always writes them, also when 0. Suspected parts and rate limits are sent as before.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/Peer.java
@@ -52,7 +52,7 @@
         mSeed = seed;
         mCreatedMillis = nowMillis;
         for (UpdateSubject subject : UpdateSubject.values()) {
-            mExchanges.put(subject, new UpdateExchange());
+            mExchanges.put(subject, new UpdateExchange(subject));
         }
     }
 
@@ -71,7 +71,8 @@
         setMember(report.sender());
         mReport = Optional.of(report);
         mExchanges.forEach(
-                (subject, each) -> each.known(report.knownVersions().getOrDefault(subject, 0L)));
+                (subject, each) ->
+                        each.known(Optional.ofNullable(report.knownVersions().get(subject))));
         mReplyDue |= report.wantsReply();
         messageReceived(nowMillis);
         return true;
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.lib.InstanceId;
@@ -61,10 +60,8 @@
     private static void writeVersions(Map<UpdateSubject, Long> versions, UseReport message) {
         message.setSuspectsVersion(versions.getOrDefault(UpdateSubject.SUSPECTS, 0L));
         message.setLimitsVersion(versions.getOrDefault(UpdateSubject.RATE_LIMITS, 0L));
-        Optional.ofNullable(versions.get(UpdateSubject.LEAVING))
-                .ifPresent(message::setLeavingVersion);
-        Optional.ofNullable(versions.get(UpdateSubject.PAUSES))
-                .ifPresent(message::setPausesVersion);
+        message.setLeavingVersion(versions.getOrDefault(UpdateSubject.LEAVING, 0L));
+        message.setPausesVersion(versions.getOrDefault(UpdateSubject.PAUSES, 0L));
     }
 
     private static Map<UpdateSubject, Long> knownVersions(UseReport message) {
