Wait for a replacement once the last leaving upstream is removed

The scheduler is told that all upstreams are leaving when the directory changes, but the removal of a leaving upstream did not count as a change: requests were refused at once instead of waiting for the replacement. The directory now reports changes of leaving upstreams as well.

UpstreamDirectoryTest failed before: the request after the removal was refused with NO_UPSTREAM.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamDirectory.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamDirectory.java
@@ -85,15 +85,15 @@
     }
 
     /**
-     * Adds or updates an entry, unless the change is outdated; returns whether the usable upstreams
-     * changed. An incarnation that was leaving remains so.
+     * Adds or updates an entry, unless the change is outdated; returns whether the usable or
+     * leaving upstreams changed. An incarnation that was leaving remains so.
      */
     public boolean put(ListedUpstream upstream, long offset, long nowMillis) {
         Entry entry = mEntries.computeIfAbsent(upstream.id(), id -> new Entry());
         if (offset < entry.mOffset) {
             return false;
         }
-        Optional<ListedUpstream> before = usable(entry);
+        Optional<ListedUpstream> before = listed(entry);
         boolean leaving =
                 upstream.leaving()
                         || (entry.mUpstream != null
@@ -103,12 +103,13 @@
         entry.mUpstream = leaving ? upstream.asLeaving() : upstream;
         entry.mLapsed = false;
         entry.mRemoved = false;
-        return !before.equals(usable(entry));
+        return !before.equals(listed(entry));
     }
 
     /**
-     * Removes an entry, unless the change is outdated; returns whether the usable upstreams
-     * changed. During an outage of the list and the grace period the entry only counts as lapsed.
+     * Removes an entry, unless the change is outdated; returns whether the usable or leaving
+     * upstreams changed. During an outage of the list and the grace period the entry only counts as
+     * lapsed.
      */
     public boolean remove(UpstreamId id, long offset, long nowMillis) {
         Entry entry = mEntries.get(id);
@@ -125,7 +126,7 @@
 
     /**
      * Removes lapsed entries whose grace period is over, and forgets those removed long ago;
-     * returns whether the usable upstreams changed.
+     * returns whether the usable or leaving upstreams changed.
      */
     public boolean removeLapsed(long nowMillis) {
         boolean changed = false;
@@ -148,7 +149,7 @@
 
     /**
      * Removes the entries that a complete snapshot of the list does not contain; returns whether
-     * the usable upstreams changed.
+     * the usable or leaving upstreams changed.
      */
     public boolean retainAll(Set<UpstreamId> listed, long endOffset, long nowMillis) {
         boolean changed = false;
@@ -204,11 +205,18 @@
         return entry.usable().filter(each -> !mLeaving.contains(each));
     }
 
-    /** Marks an entry as removed; returns whether it was usable. */
+    /** Returns the upstream if it is listed, with whether it is leaving as far as is known. */
+    private Optional<ListedUpstream> listed(Entry entry) {
+        return Optional.ofNullable(entry.mUpstream)
+                .filter(each -> !entry.mRemoved)
+                .map(each -> mLeaving.contains(each) ? each.asLeaving() : each);
+    }
+
+    /** Marks an entry as removed; returns whether it was listed. */
     private boolean remove(Entry entry, long nowMillis) {
-        boolean usable = usable(entry).isPresent();
+        boolean listed = listed(entry).isPresent();
         entry.remove(nowMillis);
-        return usable;
+        return listed;
     }
 
     private static final class Entry {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/UpstreamDirectoryTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/UpstreamDirectoryTest.java
@@ -47,6 +47,26 @@
         assertThat(mDirectory.isUsable(upstream(false, 1))).isFalse();
     }
 
+    /** Guards against requests being refused at once although a replacement may be listed. */
+    @Test
+    void waitsForAReplacementOnceTheLastLeavingUpstreamIsRemoved() {
+        PoolScheduler scheduler = Jobs.scheduler();
+        mDirectory.put(upstream(true, 1), 0, 0);
+        apply(scheduler, true, 0);
+        assertThat(scheduler.submit(Jobs.job(1, "w", "p", 100, 0), 0)).hasSize(1);
+        apply(scheduler, mDirectory.remove(ID, 1, 10), 10);
+        assertThat(scheduler.submit(Jobs.job(2, "w", "p", 100, 10), 10)).isEmpty();
+        apply(scheduler, mDirectory.put(upstream(false, 2), 2, 20), 20);
+        assertThat(scheduler.tick(20)).singleElement().isInstanceOf(PoolAction.Start.class);
+    }
+
+    private void apply(PoolScheduler scheduler, boolean changed, long nowMillis) {
+        if (changed) {
+            scheduler.setUpstreams(mDirectory.usable("s"), nowMillis);
+            scheduler.setAllLeaving(mDirectory.areAllLeaving("s"));
+        }
+    }
+
     @Test
     void remembersThatAListedUpstreamIsLeaving() {
         mDirectory.put(upstream(false, 1), 0, 0);
