--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/ServicePoolTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/ServicePoolTest.java
@@ -7,7 +7,9 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.magnoliapick.lib.InstanceId;
+import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.limit.UpstreamPauses;
 
 /**
  * Tests two instances, one of which is the dispatcher; the test delivers, drops and repeats the
@@ -184,6 +186,39 @@
         assertThat(servedTokens(mDispatcher, 3)).isEmpty();
     }
 
+    @Test
+    void doesNotStartAtAnUpstreamThatIsPausedOrLeaving() {
+        UpstreamPauses pauses = new UpstreamPauses();
+        ServicePool paused = new ServicePool("s", Jobs.scheduler(pauses, "u", "v"));
+        pauses.record(Jobs.upstream("u").incarnation(), "r", 3_000, 0);
+        UpstreamDirectory directory = new UpstreamDirectory();
+        for (String each : List.of("u", "v")) {
+            directory.put(Jobs.upstream(each), 0, 0);
+        }
+        directory.leaving().record(Jobs.upstream("u"), "r", 0);
+        ServicePool leaving = new ServicePool("s", Jobs.scheduler());
+        leaving.scheduler().setUpstreams(directory.usable(Jobs.upstream("u").service()), 0);
+        for (ServicePool pool : List.of(paused, leaving)) {
+            // Decided here instead, for the other upstream.
+            assertThat(grant(pool, "u")).isEqualTo(Jobs.upstream("v"));
+            assertThat(pool.scheduler().ownUse(2).uses())
+                    .extracting(UpstreamUse::upstream)
+                    .containsExactly(new UpstreamId("v"));
+            assertThat(grant(pool, "v")).isEqualTo(Jobs.upstream("v"));
+        }
+    }
+
+    private static ListedUpstream grant(ServicePool pool, String upstream) {
+        long queryId = upstream.equals("u") ? 1 : 2;
+        pool.submit(Jobs.job(queryId, "w", "p", 100, 0), Optional.of(DISPATCHER), 0);
+        PoolDecision grant =
+                new PoolDecision.Start(
+                        queryId, queryId, new UpstreamId(upstream), 100, 0, PoolCause.ROOM);
+        List<PoolAction> actions = pool.receiveDecision(DISPATCHER, grant, 1);
+        assertThat(actions).singleElement().isInstanceOf(PoolAction.Start.class);
+        return ((PoolAction.Start) actions.get(0)).ticket().upstream();
+    }
+
     private static Map<WorkspaceId, Long> servedTokens(ServicePool pool, long nowMillis) {
         return pool.scheduler().ownUse(nowMillis).servedTokens();
     }
