Forget dropped pauses also in the log of changes

A pause that was dropped because there were too many stayed in the log of changes for ever, and new instances were sent empty updates for it, 32 entries at a time. The set of pauses now tells of what it drops.

UpstreamPausesTest failed before: the first update held no pause.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/limit/InstancePauses.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/limit/InstancePauses.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.magnoliapick.lib.UpstreamIncarnation;
 
 /** The pauses that upstreams asked one instance for. */
@@ -13,6 +14,17 @@
     private static final int MAX_PAUSES = 1_024;
 
     private final Map<UpstreamIncarnation, UpstreamPause> mPauses = new HashMap<>();
+    private final Consumer<UpstreamIncarnation> mDropped;
+
+    /**
+     * Creates an empty set.
+     *
+     * @param dropped is told of upstreams whose pauses are no longer kept because there are too
+     *     many
+     */
+    InstancePauses(Consumer<UpstreamIncarnation> dropped) {
+        mDropped = dropped;
+    }
 
     /** Adds a pause; returns whether it ends later than the one that was known. */
     boolean add(UpstreamPause pause) {
@@ -23,7 +35,11 @@
         if (known == null && mPauses.size() == MAX_PAUSES) {
             mPauses.values().stream()
                     .min(Comparator.comparingLong(UpstreamPause::endMillis))
-                    .ifPresent(first -> mPauses.remove(first.incarnation()));
+                    .ifPresent(
+                            first -> {
+                                mPauses.remove(first.incarnation());
+                                mDropped.accept(first.incarnation());
+                            });
         }
         mPauses.put(pause.incarnation(), pause);
         return true;
--- a/magnoliapick-core/src/main/java/org/magnoliapick/limit/UpstreamPauses.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/limit/UpstreamPauses.java
@@ -26,8 +26,8 @@
     /** The maximum number of other instances whose pauses are kept. */
     private static final int MAX_INSTANCES = 1_024;
 
-    private final InstancePauses mOwn = new InstancePauses();
     private final ChangeLog<UpstreamIncarnation> mChangeLog = new ChangeLog<>();
+    private final InstancePauses mOwn = new InstancePauses(mChangeLog::removed);
     private final Map<InstanceId, Peer> mPeers = new HashMap<>();
     private final List<PauseChange> mChanges = new ArrayList<>();
 
@@ -76,7 +76,7 @@
         }
         Peer peer =
                 mPeers.computeIfAbsent(
-                        instance, id -> new Peer(startedMillis, new InstancePauses()));
+                        instance, id -> new Peer(startedMillis, new InstancePauses(each -> {})));
         for (UpstreamPause each : update.pauses()) {
             long pauseMillis = each.endMillis() - nowMillis;
             if (pauseMillis > 0) {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/limit/UpstreamPausesTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/limit/UpstreamPausesTest.java
@@ -104,6 +104,18 @@
         assertThat(remainingAtDispatcherMillis(1_020)).isZero();
     }
 
+    /** Guards against updates that consist of pauses which were dropped. */
+    @Test
+    void tellsOnlyThePausesThatAreKept() {
+        for (int i = 0; i < 3_000; i++) {
+            mPauses.record(incarnation("u" + i, 1), "r", 10_000 + i, 1_000);
+        }
+        mPauses.tick(20_000);
+        mPauses.record(UPSTREAM, "r", 3_000, 20_000);
+        assertThat(mPauses.updateFor(0).orElseThrow().pauses())
+                .containsExactly(new UpstreamPause(UPSTREAM, 23_000));
+    }
+
     @Test
     void isBounded() {
         for (int i = 0; i < 3_000; i++) {
