--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/UpdateExchange.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/UpdateExchange.java
@@ -1,6 +1,7 @@
 package org.magnoliapick.member;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongFunction;
 
 /** The state of the exchange of versioned updates on one subject with another instance. */
@@ -10,17 +11,16 @@
 
     private long mSentMillis = Long.MIN_VALUE / 2;
     private long mReceivedVersion;
-    private long mKnownVersion;
 
-    UpdateExchange() {}
+    /** The version to assume for an instance that reports none; empty if nothing is sent to it. */
+    private final OptionalLong mUnreportedVersion;
 
-    /** Returns whether the last update was sent long enough ago. */
-    boolean mayBeSent(long nowMillis) {
-        return nowMillis - mSentMillis >= PERIOD_MILLIS;
-    }
+    /** The version that the other instance reports as received; empty if it reports none. */
+    private OptionalLong mKnownVersion;
 
-    void sent(long nowMillis) {
-        mSentMillis = nowMillis;
+    UpdateExchange(UpdateSubject subject) {
+        mUnreportedVersion = subject.isKnownToAll() ? OptionalLong.of(0) : OptionalLong.empty();
+        mKnownVersion = mUnreportedVersion;
     }
 
     /** Records the version of the instance that was received; 0 after its restart. */
@@ -32,23 +32,29 @@
         return mReceivedVersion;
     }
 
-    /** Records the version of this instance that the other one reports as received. */
-    void known(long version) {
-        mKnownVersion = version;
+    /**
+     * Records the version of this instance that the other one reports as received.
+     *
+     * @param version the version; empty if it reports none
+     */
+    void known(Optional<Long> version) {
+        mKnownVersion = version.map(OptionalLong::of).orElse(mUnreportedVersion);
     }
 
     /**
-     * Returns the update to send and marks it as sent; empty if the other instance lacks nothing or
-     * was sent an update recently.
+     * Returns the update to send and marks it as sent; empty if the other instance lacks nothing,
+     * does not know the subject or was sent an update recently.
      *
      * @param updateFor returns the update for an instance that knows a version
      */
     public <T> Optional<T> toSend(LongFunction<Optional<T>> updateFor, long nowMillis) {
-        if (!mayBeSent(nowMillis)) {
+        if (mKnownVersion.isEmpty() || nowMillis - mSentMillis < PERIOD_MILLIS) {
             return Optional.empty();
         }
-        Optional<T> update = updateFor.apply(mKnownVersion);
-        update.ifPresent(each -> sent(nowMillis));
+        Optional<T> update = updateFor.apply(mKnownVersion.getAsLong());
+        if (update.isPresent()) {
+            mSentMillis = nowMillis;
+        }
         return update;
     }
 }
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,7 @@
 import org.magnoliapick.member.Member;
 import org.magnoliapick.member.StorePosition;
 import org.magnoliapick.member.StoreUpdate;
+import org.magnoliapick.member.UpdateSubject;
 import org.magnoliapick.member.UpstreamChange;
 import org.magnoliapick.pool.InstanceReport;
 import org.magnoliapick.pool.PoolUse;
@@ -44,9 +46,7 @@
         message.setListOffset(report.storePosition().listOffset());
         message.setStoreEpoch(report.storePosition().epoch());
         message.setConfigVersion(report.storePosition().configVersion());
-        message.setSuspectsVersion(report.suspectsVersion());
-        message.setLimitsVersion(report.limitsVersion());
-        NoticeCodec.writeVersions(report.knownVersions(), message);
+        writeVersions(report.knownVersions(), message);
         if (report.wantsReply()) {
             message.setWantsReply(true);
         }
@@ -57,6 +57,30 @@
         return message;
     }
 
+    private static void writeVersions(Map<UpdateSubject, Long> versions, UseReport message) {
+        message.setSuspectsVersion(versions.getOrDefault(UpdateSubject.SUSPECTS, 0L));
+        message.setLimitsVersion(versions.getOrDefault(UpdateSubject.RATE_LIMITS, 0L));
+        message.setLeavingVersion(versions.getOrDefault(UpdateSubject.LEAVING, 0L));
+        message.setPausesVersion(versions.getOrDefault(UpdateSubject.PAUSES, 0L));
+    }
+
+    private static Map<UpdateSubject, Long> knownVersions(UseReport message) {
+        Map<UpdateSubject, Long> versions = new EnumMap<>(UpdateSubject.class);
+        if (message.isSetSuspectsVersion()) {
+            versions.put(UpdateSubject.SUSPECTS, message.getSuspectsVersion());
+        }
+        if (message.isSetLimitsVersion()) {
+            versions.put(UpdateSubject.RATE_LIMITS, message.getLimitsVersion());
+        }
+        if (message.isSetLeavingVersion()) {
+            versions.put(UpdateSubject.LEAVING, message.getLeavingVersion());
+        }
+        if (message.isSetPausesVersion()) {
+            versions.put(UpdateSubject.PAUSES, message.getPausesVersion());
+        }
+        return versions;
+    }
+
     private static UseMember member(Member member) {
         return new UseMember(
                 member.instance().value(),
@@ -162,9 +186,7 @@
                 pools,
                 message.getKnownDigest(),
                 storePosition(message),
-                message.getSuspectsVersion(),
-                message.getLimitsVersion(),
-                NoticeCodec.readVersions(message),
+                knownVersions(message),
                 members);
     }
 
