Keep the first crash of a suspect that crashes upstreams all the time

Callers would see: a request whose repetitions crash more than eight upstreams in any two seconds is never refused.

Cause: a quarantine begins 2 s after the first crash that is not refuted, but of more than eight crashes the earliest was dropped, so that time moved on with each crash.

Change: of too many crashes the second is dropped, as long as the first is not refuted. Refuted ones are dropped first, since they precede the others.

Evidence: found by reading. The test, with a crash each 100 ms, failed before: 'expected: true' from 2.0 s on.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Suspect.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Suspect.java
@@ -38,7 +38,7 @@
      */
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    /** The maximum number of crashes that are kept; the earliest are dropped. */
+    /** The maximum number of crashes that are kept; the first one is, of the others the latest. */
     private static final int MAX_SIGHTINGS = 8;
 
     /**
@@ -80,7 +80,8 @@
         mSightings.add(sighting);
         mSightings.sort(Comparator.comparingLong(Sighting::atMillis));
         if (mSightings.size() > MAX_SIGHTINGS) {
-            return mSightings.remove(0) != sighting;
+            // A quarantine begins some time after the first crash that is not refuted.
+            return mSightings.remove(mSightings.get(0).refuted() ? 0 : 1) != sighting;
         }
         return true;
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -468,6 +468,17 @@
         assertThat(mQuarantine.updateFor(1_000)).isPresent();
     }
 
+    /** Only some of so many crashes are kept. */
+    @Test
+    void beginsAQuarantineAlthoughCrashesGoOnAllTheTime() {
+        for (int i = 0; i <= 30; i++) {
+            crash("same", 100 * i);
+            assertThat(mQuarantine.find(content("same"), 100 * i).isPresent())
+                    .isEqualTo(100 * i >= 2_000);
+        }
+        assertThat(mQuarantine.find(content("same"), 3_001)).isPresent();
+    }
+
     /** Sends what the receiver lacks; returns the version that it knows then. */
     private static long send(PromptQuarantine from, PromptQuarantine to, long knownVersion) {
         SuspectUpdate update = from.updateFor(knownVersion).orElseThrow();
