Count only requests that are sent as probes

Callers would see: a quarantined part stays refused for 10 s more although no probe of it was sent, and the log has a probe that never was.

Cause: admit went through the parts and the fingerprint of a request once. It marked the part as probed before it refused the request for its fingerprint.

Change: it refuses first, for the latest end, and marks all suspects only if the request is sent.

Evidence: found by reading. The test failed before: the part was refused after a refused request that has it.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
@@ -66,21 +66,22 @@
             return quarantine;
         }
         Set<SuspectKey> keys = SuspectKey.of(content);
-        for (SuspectKey key : keys) {
-            Optional<Suspect> suspect =
-                    mSuspects
-                            .find(key)
-                            .filter(Suspect::isPoison)
-                            .filter(each -> appliesTo(each, keys));
-            if (suspect.isEmpty()) {
-                continue;
-            }
-            Optional<Quarantine> untilProbe = suspect.get().untilProbe(nowMillis);
-            if (untilProbe.isPresent()) {
-                return untilProbe;
-            }
-            suspect.get().probed(nowMillis);
-            addChange(QuarantineChange.Kind.PROBED, suspect.get());
+        List<Suspect> suspects =
+                keys.stream()
+                        .flatMap(key -> mSuspects.find(key).stream())
+                        .filter(Suspect::isPoison)
+                        .filter(each -> appliesTo(each, keys))
+                        .toList();
+        Optional<Quarantine> untilProbe =
+                suspects.stream()
+                        .flatMap(each -> each.untilProbe(nowMillis).stream())
+                        .max(Comparator.comparingLong(Quarantine::endMillis));
+        if (untilProbe.isPresent()) {
+            return untilProbe;
+        }
+        for (Suspect each : suspects) {
+            each.probed(nowMillis);
+            addChange(QuarantineChange.Kind.PROBED, each);
         }
         return Optional.empty();
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -479,6 +479,21 @@
         assertThat(mQuarantine.find(content("same"), 3_001)).isPresent();
     }
 
+    @Test
+    void doesNotCountARefusedRequestAsProbe() {
+        threeCrashes("bad");
+        for (int i = 1; i <= 3; i++) {
+            crash("same", 1_000 * i);
+        }
+        mQuarantine.takeChanges();
+        assertThat(mQuarantine.admit(content("same"), 63_000)).isEmpty();
+        assertThat(mQuarantine.admit(content("same", "bad"), 63_100)).isPresent();
+        assertThat(mQuarantine.admit(other("bad"), 63_200)).isEmpty();
+        assertThat(mQuarantine.takeChanges())
+                .extracting(change -> change.key().kind())
+                .containsExactly(SuspectKey.Kind.FINGERPRINT, SuspectKey.Kind.PART);
+    }
+
     /** Sends what the receiver lacks; returns the version that it knows then. */
     private static long send(PromptQuarantine from, PromptQuarantine to, long knownVersion) {
         SuspectUpdate update = from.updateFor(knownVersion).orElseThrow();
