Tell other instances of accused suspects before refuted ones

Callers would see: while many suspects wait to be told, other instances go on to send what crashes upstreams.

Cause: the four places of an update for urgent suspects went to those with the most crashes, refuted or not. A sound part that was refuted eight times took a place of a poison one with three. Those at places 13 to 16 of the order had no chance at all: neither in order nor urgent.

Change: the most accused by crashes that are not refuted comes first, then one refutation, then the other accused, then other refutations, from all that may have to wait.

Evidence: found by reading. The test, with five refuted parts of eight crashes before one with three, failed before: the update lacked the latter.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
@@ -95,26 +95,40 @@
                         .filter(each -> versionOf(each) > known)
                         .sorted(Comparator.comparingLong(this::versionOf))
                         .toList();
-        List<Suspect> urgent = urgent(changed);
+        List<Suspect> urgent = changed.size() > MAX_REPORTS ? urgent(changed) : List.of();
         int inOrder = Math.min(changed.size(), MAX_REPORTS - urgent.size());
         boolean all = inOrder == changed.size();
         return Optional.of(
                 new SuspectUpdate(
                         all ? mVersion : versionOf(changed.get(inOrder - 1)),
                         Stream.concat(changed.stream().limit(inOrder), urgent.stream())
+                                .distinct()
                                 .map(each -> new SuspectReport(each.key(), each.sightings()))
                                 .toList()));
     }
 
     /**
-     * Returns suspects of several crashes that would have to wait for a later update. They are sent
-     * again by that one.
+     * Returns suspects of several crashes that may have to wait for a later update. They are sent
+     * again by that one. Refutations have a place, since they end quarantines of sound parts.
      */
     private static List<Suspect> urgent(List<Suspect> changed) {
-        return changed.stream()
-                .skip(MAX_REPORTS)
-                .filter(each -> each.sightingCount() > 1)
-                .sorted(Comparator.comparingInt(Suspect::sightingCount).reversed())
+        List<Suspect> waiting = changed.stream().skip(MAX_REPORTS - MAX_URGENT_REPORTS).toList();
+        List<Suspect> accused =
+                waiting.stream()
+                        .filter(each -> each.crashes() > 1)
+                        .sorted(Comparator.comparingInt(Suspect::crashes).reversed())
+                        .toList();
+        List<Suspect> refuted =
+                waiting.stream()
+                        .filter(each -> each.crashes() == 0 && each.sightingCount() > 1)
+                        .sorted(Comparator.comparingInt(Suspect::sightingCount).reversed())
+                        .toList();
+        return Stream.of(
+                        accused.stream().limit(1),
+                        refuted.stream().limit(1),
+                        accused.stream().skip(1),
+                        refuted.stream().skip(1))
+                .flatMap(each -> each)
                 .limit(MAX_URGENT_REPORTS)
                 .toList();
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -494,6 +494,25 @@
                 .containsExactly(SuspectKey.Kind.FINGERPRINT, SuspectKey.Kind.PART);
     }
 
+    /** Others that changed before were answered, so that their crashes matter little. */
+    @Test
+    void sendsTheMostAccusedBeforeThoseThatWereRefuted() {
+        for (int i = 0; i < 34; i++) {
+            crash("request", 1_000, "part-" + i);
+        }
+        for (int i = 0; i < 5; i++) {
+            for (int j = 0; j < 8; j++) {
+                crash("request", 1_000 + 300 * j, "refuted-" + i);
+            }
+            mQuarantine.recordAnswer(other("refuted-" + i), 4_000);
+        }
+        threeCrashes("bad");
+        assertThat(mQuarantine.updateFor(0).orElseThrow().suspects())
+                .extracting(each -> each.key().id())
+                .contains("bad")
+                .anyMatch(each -> each.startsWith("refuted"));
+    }
+
     /** Sends what the receiver lacks; returns the version that it knows then. */
     private static long send(PromptQuarantine from, PromptQuarantine to, long knownVersion) {
         SuspectUpdate update = from.updateFor(knownVersion).orElseThrow();
