Sort suspects only if there are too many

Each recorded crash sorted all suspects, by counts that are computed for each comparison, although a table within its bounds has nothing to drop. A crash records up to hundreds of lost requests. Now the sort is left out unless a kind is above its bound. A full table is still sorted for each request (see "What remains" of docs/incidents/deadly-request.md).

Found by reading; no behaviour changes, so no test failed before: keepsThePartsWithMostCrashesWhenThereAreTooMany guards what is kept.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
@@ -66,14 +66,21 @@
 
     /** Drops suspects beyond the bound: those with the fewest crashes, the oldest first. */
     void dropExcess() {
+        if (mSuspects.size() <= MAX_SUSPECTS) {
+            return;
+        }
         for (SuspectKey.Kind kind : SuspectKey.Kind.values()) {
             List<Suspect> ofKind =
                     mSuspects.values().stream().filter(each -> each.key().kind() == kind).toList();
+            int excess = ofKind.size() - MAX_SUSPECTS;
+            if (excess <= 0) {
+                continue;
+            }
             ofKind.stream()
                     .sorted(
                             Comparator.comparingInt(Suspect::crashes)
                                     .thenComparingLong(Suspect::lastSightingMillis))
-                    .limit(Math.max(0, ofKind.size() - MAX_SUSPECTS))
+                    .limit(excess)
                     .forEach(this::remove);
         }
     }
