Withhold a second send although the request was answered long before

Callers would see: a request that was answered once, and crashes upstreams since a change of them, crashes two upstreams with each repetition.

Cause: any answer that is known, however long before the crash, permitted to send a lost request to another upstream.

A part that was ever answered is distrusted after two crashes at different times only: a crash of other cause takes many sound requests with it that share a part, and the answers that speak for the part may be at other instances.

Evidence: found by reading. Both tests failed before: mayRetry was true.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
@@ -89,19 +89,21 @@
     /**
      * Returns whether a request that lost its upstream without any answer is to be sent to another
      * one: not if an upstream crashed in the same way before with a repetition of it, or with
-     * another request that has one of its parts, and no answer to such a request is known.
+     * another request that has one of its parts, and no answer refuted this. A part that was ever
+     * answered needs several crashes, since each takes sound requests with it.
      */
     public boolean mayRetry(RequestContent content) {
         return SuspectKey.of(content).stream()
-                .filter(key -> mAnswers.last(key).isEmpty())
                 .flatMap(key -> mSuspects.find(key).stream())
                 .noneMatch(each -> isAccusedByAnother(each, content));
     }
 
-    private static boolean isAccusedByAnother(Suspect suspect, RequestContent content) {
-        return suspect.key().kind() == SuspectKey.Kind.FINGERPRINT
-                ? suspect.crashes() > 0
-                : suspect.requests().stream()
+    private boolean isAccusedByAnother(Suspect suspect, RequestContent content) {
+        if (suspect.key().kind() == SuspectKey.Kind.FINGERPRINT) {
+            return suspect.crashes() > 0;
+        }
+        return (suspect.crashes() > 1 || mAnswers.last(suspect.key()).isEmpty())
+                && suspect.requests().stream()
                         .anyMatch(each -> !each.equals(content.fingerprint().toString()));
     }
 
--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -513,6 +513,25 @@
                 .anyMatch(each -> each.startsWith("refuted"));
     }
 
+    @Test
+    void doesNotRetryARepetitionThatWasAnsweredLongBeforeItsCrash() {
+        mQuarantine.recordAnswer(content("1"), 0);
+        crash("1", 60_000);
+        assertThat(mQuarantine.mayRetry(content("1"))).isFalse();
+        mQuarantine.recordAnswer(content("1"), 61_000);
+        assertThat(mQuarantine.mayRetry(content("1"))).isTrue();
+    }
+
+    /** A single crash takes sound requests with it, of which many share a part. */
+    @Test
+    void doesNotRetryAPartThatWasAnsweredLongBeforeSeveralCrashes() {
+        mQuarantine.recordAnswer(other("part"), 0);
+        crash("1", 60_000, "part");
+        assertThat(mQuarantine.mayRetry(content("3", "part"))).isTrue();
+        crash("2", 61_000, "part");
+        assertThat(mQuarantine.mayRetry(content("3", "part"))).isFalse();
+    }
+
     /** Sends what the receiver lacks; returns the version that it knows then. */
     private static long send(PromptQuarantine from, PromptQuarantine to, long knownVersion) {
         SuspectUpdate update = from.updateFor(knownVersion).orElseThrow();
