Count later crashes of an upstream that is listed as before

Callers would see: a request that crashes the same upstream again and again is never refused, if the upstream comes back with the start that was listed.

Cause: all crashes of a listed incarnation were merged into one. If the first one was refuted, the later ones were refuted with it.

Change: reports are of one crash only if their times differ by less than 2.5 s. The merge keeps the earliest time, and reports are delayed by less than about 1 s, so order and repetition of messages still do not matter.

Evidence: found by reading. countsLaterCrashesOfTheSameUpstreamAgain failed before: no quarantine after three crashes 3 s apart. countsReportsOfOneCrashOnceInAnyOrder passed before and guards the merge.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Sighting.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Sighting.java
@@ -25,6 +25,13 @@
     /** The maximum number of requests that are kept; bounds the size of messages. */
     private static final int MAX_REQUESTS = 4;
 
+    /**
+     * The time within which reports of a crash of one incarnation are of the same crash, in
+     * milliseconds. It is above the delay of a report, and below the time of a restart that the
+     * list of upstreams does not show.
+     */
+    private static final long REPORT_MILLIS = 2_500;
+
     /** Copies the first of the requests. */
     public Sighting {
         TreeSet<String> first = new TreeSet<>(requests);
@@ -35,7 +42,9 @@
     }
 
     boolean sameCrash(Sighting other) {
-        return upstream.equals(other.upstream) && startedMillis == other.startedMillis;
+        return upstream.equals(other.upstream)
+                && startedMillis == other.startedMillis
+                && Math.abs(atMillis - other.atMillis) < REPORT_MILLIS;
     }
 
     boolean sharesRequest(Sighting other) {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -532,6 +532,25 @@
         assertThat(mQuarantine.mayRetry(content("3", "part"))).isFalse();
     }
 
+    /** An upstream that restarts quickly is listed as if it had run on. */
+    @Test
+    void countsLaterCrashesOfTheSameUpstreamAgain() {
+        for (int i = 1; i <= 3; i++) {
+            crash(mQuarantine, 1, "same", 3_000 * i);
+        }
+        assertThat(mQuarantine.find(content("same"), 9_000)).isPresent();
+    }
+
+    @Test
+    void countsReportsOfOneCrashOnceInAnyOrder() {
+        for (int millis : new int[] {1_900, 1_000, 1_500, 1_900, 1_000}) {
+            crash(mQuarantine, 1, "same", millis);
+        }
+        assertThat(mQuarantine.updateFor(0).orElseThrow().suspects().get(0).sightings())
+                .extracting(Sighting::atMillis)
+                .containsExactly(1_000L);
+    }
+
     /** Sends what the receiver lacks; returns the version that it knows then. */
     private static long send(PromptQuarantine from, PromptQuarantine to, long knownVersion) {
         SuspectUpdate update = from.updateFor(knownVersion).orElseThrow();
