--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -551,6 +551,15 @@
                 .containsExactly(1_000L);
     }
 
+    @Test
+    void remembersRecentAnswersOfABusyInstance() {
+        for (int i = 0; i < 5_000; i++) {
+            mQuarantine.recordAnswer(content("request-" + i), 1_000 + i / 5);
+        }
+        crash("request-0", 2_100);
+        assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.FINGERPRINT)).isZero();
+    }
+
     /** Sends what the receiver lacks; returns the version that it knows then. */
     private static long send(PromptQuarantine from, PromptQuarantine to, long knownVersion) {
         SuspectUpdate update = from.updateFor(knownVersion).orElseThrow();
