Compare a quarantined part with all suspects once between changes

Each request with a quarantined part compared it with all suspects, of which there may be 2,048 with eight crashes each, while callers repeat such requests most. The set of those that cannot be told apart from it is now kept until a suspect changes or is removed.

Found by reading; no behaviour changes, so no test failed before. That the set is found anew after a change is guarded by findsThePoisonPartByACrashWithoutItsCompanion and servesASoundPartThatAlwaysOccurredWithAPoisonPart.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -261,17 +260,6 @@
 
     private boolean appliesTo(Suspect suspect, Set<SuspectKey> keys) {
         return suspect.key().kind() == SuspectKey.Kind.FINGERPRINT
-                || keys.containsAll(indistinguishable(suspect));
-    }
-
-    private Set<SuspectKey> indistinguishable(Suspect suspect) {
-        Set<SuspectKey> keys = new HashSet<>();
-        for (Suspect other : mSuspects.all()) {
-            if (other.key().service().equals(suspect.key().service())
-                    && suspect.isAlwaysWith(other)) {
-                keys.add(other.key());
-            }
-        }
-        return keys;
+                || keys.containsAll(mSuspects.indistinguishable(suspect));
     }
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -25,6 +27,10 @@
 
     private final Map<SuspectKey, Suspect> mSuspects = new HashMap<>();
     private final Map<SuspectKey, Long> mVersions = new HashMap<>();
+
+    /** What {@link #indistinguishable} returned since the last change. */
+    private final Map<SuspectKey, Set<SuspectKey>> mIndistinguishable = new HashMap<>();
+
     private long mVersion;
 
     boolean isEmpty() {
@@ -35,7 +41,9 @@
         return Optional.ofNullable(mSuspects.get(key));
     }
 
+    /** Returns a suspect that the caller is about to change. */
     Suspect getOrAdd(SuspectKey key) {
+        mIndistinguishable.clear();
         return mSuspects.computeIfAbsent(key, Suspect::new);
     }
 
@@ -50,6 +58,7 @@
 
     /** Records that a suspect has changed. */
     void changed(Suspect suspect) {
+        mIndistinguishable.clear();
         mVersions.put(suspect.key(), ++mVersion);
     }
 
@@ -58,7 +67,9 @@
         mVersion++;
     }
 
+    /** Removes suspects; the condition may change them. */
     void removeIf(Predicate<Suspect> condition) {
+        mIndistinguishable.clear();
         if (mSuspects.values().removeIf(condition)) {
             mVersions.keySet().retainAll(mSuspects.keySet());
         }
@@ -86,10 +97,23 @@
     }
 
     private void remove(Suspect suspect) {
+        mIndistinguishable.clear();
         mSuspects.remove(suspect.key());
         mVersions.remove(suspect.key());
     }
 
+    /** Returns the suspects that may have been there at each crash of this one, with itself. */
+    Set<SuspectKey> indistinguishable(Suspect suspect) {
+        return mIndistinguishable.computeIfAbsent(
+                suspect.key(),
+                key ->
+                        mSuspects.values().stream()
+                                .filter(each -> each.key().service().equals(key.service()))
+                                .filter(suspect::isAlwaysWith)
+                                .map(Suspect::key)
+                                .collect(Collectors.toUnmodifiableSet()));
+    }
+
     /** Returns what changed since a version; empty if nothing did. */
     Optional<SuspectUpdate> updateFor(long knownVersion) {
         // A version above the own one is of an earlier incarnation of this instance.
