--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/PromptQuarantine.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -66,21 +65,22 @@
             return quarantine;
         }
         Set<SuspectKey> keys = SuspectKey.of(content);
-        for (SuspectKey key : keys) {
-            Optional<Suspect> suspect =
-                    mSuspects
-                            .find(key)
-                            .filter(Suspect::isPoison)
-                            .filter(each -> appliesTo(each, keys));
-            if (suspect.isEmpty()) {
-                continue;
-            }
-            Optional<Quarantine> untilProbe = suspect.get().untilProbe(nowMillis);
-            if (untilProbe.isPresent()) {
-                return untilProbe;
-            }
-            suspect.get().probed(nowMillis);
-            addChange(QuarantineChange.Kind.PROBED, suspect.get());
+        List<Suspect> suspects =
+                keys.stream()
+                        .flatMap(key -> mSuspects.find(key).stream())
+                        .filter(Suspect::isPoison)
+                        .filter(each -> appliesTo(each, keys))
+                        .toList();
+        Optional<Quarantine> untilProbe =
+                suspects.stream()
+                        .flatMap(each -> each.untilProbe(nowMillis).stream())
+                        .max(Comparator.comparingLong(Quarantine::endMillis));
+        if (untilProbe.isPresent()) {
+            return untilProbe;
+        }
+        for (Suspect each : suspects) {
+            each.probed(nowMillis);
+            addChange(QuarantineChange.Kind.PROBED, each);
         }
         return Optional.empty();
     }
@@ -88,19 +88,21 @@
     /**
      * Returns whether a request that lost its upstream without any answer is to be sent to another
      * one: not if an upstream crashed in the same way before with a repetition of it, or with
-     * another request that has one of its parts, and no answer to such a request is known.
+     * another request that has one of its parts, and no answer refuted this. A part that was ever
+     * answered needs several crashes, since each takes sound requests with it.
      */
     public boolean mayRetry(RequestContent content) {
         return SuspectKey.of(content).stream()
-                .filter(key -> mAnswers.last(key).isEmpty())
                 .flatMap(key -> mSuspects.find(key).stream())
                 .noneMatch(each -> isAccusedByAnother(each, content));
     }
 
-    private static boolean isAccusedByAnother(Suspect suspect, RequestContent content) {
-        return suspect.key().kind() == SuspectKey.Kind.FINGERPRINT
-                ? suspect.crashes() > 0
-                : suspect.requests().stream()
+    private boolean isAccusedByAnother(Suspect suspect, RequestContent content) {
+        if (suspect.key().kind() == SuspectKey.Kind.FINGERPRINT) {
+            return suspect.crashes() > 0;
+        }
+        return (suspect.crashes() > 1 || mAnswers.last(suspect.key()).isEmpty())
+                && suspect.requests().stream()
                         .anyMatch(each -> !each.equals(content.fingerprint().toString()));
     }
 
@@ -258,17 +260,6 @@
 
     private boolean appliesTo(Suspect suspect, Set<SuspectKey> keys) {
         return suspect.key().kind() == SuspectKey.Kind.FINGERPRINT
-                || keys.containsAll(indistinguishable(suspect));
-    }
-
-    private Set<SuspectKey> indistinguishable(Suspect suspect) {
-        Set<SuspectKey> keys = new HashSet<>();
-        for (Suspect other : mSuspects.all()) {
-            if (other.key().service().equals(suspect.key().service())
-                    && suspect.isAlwaysWith(other)) {
-                keys.add(other.key());
-            }
-        }
-        return keys;
+                || keys.containsAll(mSuspects.indistinguishable(suspect));
     }
 }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -468,6 +468,122 @@
         assertThat(mQuarantine.updateFor(1_000)).isPresent();
     }
 
+    /** Only some of so many crashes are kept. */
+    @Test
+    void beginsAQuarantineAlthoughCrashesGoOnAllTheTime() {
+        for (int i = 0; i <= 30; i++) {
+            crash("same", 100 * i);
+            assertThat(mQuarantine.find(content("same"), 100 * i).isPresent())
+                    .isEqualTo(100 * i >= 2_000);
+        }
+        assertThat(mQuarantine.find(content("same"), 3_001)).isPresent();
+    }
+
+    @Test
+    void doesNotCountARefusedRequestAsProbe() {
+        threeCrashes("bad");
+        for (int i = 1; i <= 3; i++) {
+            crash("same", 1_000 * i);
+        }
+        mQuarantine.takeChanges();
+        assertThat(mQuarantine.admit(content("same"), 63_000)).isEmpty();
+        assertThat(mQuarantine.admit(content("same", "bad"), 63_100)).isPresent();
+        assertThat(mQuarantine.admit(other("bad"), 63_200)).isEmpty();
+        assertThat(mQuarantine.takeChanges())
+                .extracting(change -> change.key().kind())
+                .containsExactly(SuspectKey.Kind.FINGERPRINT, SuspectKey.Kind.PART);
+    }
+
+    /** Others that changed before were answered, so that their crashes matter little. */
+    @Test
+    void sendsTheMostAccusedBeforeThoseThatWereRefuted() {
+        for (int i = 0; i < 34; i++) {
+            crash("request", 1_000, "part-" + i);
+        }
+        for (int i = 0; i < 5; i++) {
+            for (int j = 0; j < 8; j++) {
+                crash("request", 1_000 + 300 * j, "refuted-" + i);
+            }
+            mQuarantine.recordAnswer(other("refuted-" + i), 4_000);
+        }
+        threeCrashes("bad");
+        assertThat(mQuarantine.updateFor(0).orElseThrow().suspects())
+                .extracting(each -> each.key().id())
+                .contains("bad")
+                .anyMatch(each -> each.startsWith("refuted"));
+    }
+
+    @Test
+    void doesNotRetryARepetitionThatWasAnsweredLongBeforeItsCrash() {
+        mQuarantine.recordAnswer(content("1"), 0);
+        crash("1", 60_000);
+        assertThat(mQuarantine.mayRetry(content("1"))).isFalse();
+        mQuarantine.recordAnswer(content("1"), 61_000);
+        assertThat(mQuarantine.mayRetry(content("1"))).isTrue();
+    }
+
+    /** A single crash takes sound requests with it, of which many share a part. */
+    @Test
+    void doesNotRetryAPartThatWasAnsweredLongBeforeSeveralCrashes() {
+        mQuarantine.recordAnswer(other("part"), 0);
+        crash("1", 60_000, "part");
+        assertThat(mQuarantine.mayRetry(content("3", "part"))).isTrue();
+        crash("2", 61_000, "part");
+        assertThat(mQuarantine.mayRetry(content("3", "part"))).isFalse();
+    }
+
+    /** An upstream that restarts quickly is listed as if it had run on. */
+    @Test
+    void countsLaterCrashesOfTheSameUpstreamAgain() {
+        for (int i = 1; i <= 3; i++) {
+            crash(mQuarantine, 1, "same", 3_000 * i);
+        }
+        assertThat(mQuarantine.find(content("same"), 9_000)).isPresent();
+    }
+
+    @Test
+    void countsReportsOfOneCrashOnceInAnyOrder() {
+        for (int millis : new int[] {1_900, 1_000, 1_500, 1_900, 1_000}) {
+            crash(mQuarantine, 1, "same", millis);
+        }
+        assertThat(mQuarantine.updateFor(0).orElseThrow().suspects().get(0).sightings())
+                .extracting(Sighting::atMillis)
+                .containsExactly(1_000L);
+    }
+
+    @Test
+    void remembersRecentAnswersOfABusyInstance() {
+        for (int i = 0; i < 5_000; i++) {
+            mQuarantine.recordAnswer(content("request-" + i), 1_000 + i / 5);
+        }
+        crash("request-0", 2_100);
+        assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.FINGERPRINT)).isZero();
+    }
+
+    /** Updates travel as single datagrams. */
+    @Test
+    void boundsTheCrashesOfAnUpdate() {
+        for (int i = 0; i < 40; i++) {
+            for (int j = 0; j < 8; j++) {
+                crash("request-" + j, 1_000 + 300 * j, "part-" + i);
+            }
+        }
+        PromptQuarantine other = new PromptQuarantine();
+        long version = 0;
+        Optional<SuspectUpdate> update = mQuarantine.updateFor(version);
+        while (update.isPresent()) {
+            int crashes =
+                    update.get().suspects().stream()
+                            .mapToInt(each -> each.sightings().size())
+                            .sum();
+            assertThat(crashes).isLessThanOrEqualTo(32);
+            version = send(mQuarantine, other, version);
+            update = mQuarantine.updateFor(version);
+        }
+        assertThat(other.suspectedCount(SuspectKey.Kind.PART)).isEqualTo(40);
+        assertThat(other.quarantinedCount(SuspectKey.Kind.PART, 4_000)).isEqualTo(40);
+    }
+
     /** Sends what the receiver lacks; returns the version that it knows then. */
     private static long send(PromptQuarantine from, PromptQuarantine to, long knownVersion) {
         SuspectUpdate update = from.updateFor(knownVersion).orElseThrow();
