Read a connection again after a response that ended while paused

What callers saw: a request without an answer until its timeout, on a connection to an upstream that an earlier stream had used.

Cause: a slow caller pauses reading from the upstream. If the end of the stream was decoded from the same read, the connection went back to the pool with reading off, and nothing turned it on again: neither a response nor the close of the connection was noticed on it.

Change: the end of a response turns reading on.

Evidence: the new test failed before (isAutoRead was false after the end of the response) and passes now.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
@@ -203,6 +203,8 @@
         }
         mListener = null;
         mDecoder.expectResponse(false);
+        // The receiver may have paused reading although the rest of the response was read already.
+        setReading(true);
         boolean clean = mReusable && !mDecoder.hasUnreadBytes() && mWriteFuture.isSuccess();
         if (!clean || !mChannel.isActive()) {
             close();
