Report a sent request as possibly run after any fault

What callers saw: a request that an upstream had received was answered as not run after a fault of the gateway, so that the caller might send it again although it ran.

Cause: whether a request may have run was asked of the attempt in flight, which is forgotten when its place at the upstream is released, and of the ended attempts, which are counted a step later. The attempt also counted as sent only after the first bytes were.

Change: after a fault, a request that was ever sent may have run, and an attempt counts as sent before its first byte.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -89,7 +89,7 @@
         }
         boolean mayHaveRun =
                 mAttempts != null
-                        && (mAttempts.mayHaveRun() || (mCall != null && mCall.mayHaveSent()));
+                        && (mAttempts.sends() > 0 || (mCall != null && mCall.mayHaveSent()));
         ErrorKind kind = mayHaveRun ? ErrorKind.INTERNAL_AFTER_START : ErrorKind.INTERNAL;
         try {
             cancelOrWithdraw();
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -82,12 +82,15 @@
         mConnection = connection;
         mResumed = mRelay.attempts().isHeadRelayed();
         mStallWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
-        if (connection.send(forwardedHead(), mRelay.requestBody(), mRelay.guard().guarded(this))) {
-            mSent = true;
+        HttpRequest head = forwardedHead();
+        // Set before, because a fault may follow the first bytes that are sent.
+        mSent = true;
+        if (connection.send(head, mRelay.requestBody(), mRelay.guard().guarded(this))) {
             mRelay.connections().sent(connection);
             mSentMillis = mContext.nowMillis();
             mRelay.attempts().sent(mUpstream.id());
         } else {
+            mSent = false;
             onFailure(AttemptEnd.NOT_SENT);
         }
     }
