Answer a request whose error response fails

What callers saw: no answer and an open connection after a fault in the step that sends an error response.

Cause: a request is closed before it is answered with an error, and the step that ends a request after a fault did nothing if it was closed. A fault in the release of the body also left the timer and the request behind.

Change: the response is failed in any case, which does nothing if it has ended; the timer and the request are removed before the body is released.

Evidence: the new test lets the error response to a rejected request fail. Its response was not ended before and is now.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -84,20 +84,28 @@
 
     /** Ends the request after a fault of the gateway itself, which was logged. */
     void endWithFault() {
-        if (mClosed) {
-            return;
-        }
         boolean mayHaveRun =
                 mAttempts != null
                         && (mAttempts.sends() > 0 || (mCall != null && mCall.mayHaveSent()));
         ErrorKind kind = mayHaveRun ? ErrorKind.INTERNAL_AFTER_START : ErrorKind.INTERNAL;
+        try {
+            cancelAfterFault(kind);
+        } finally {
+            // A request is closed before it is answered, so the fault may have been in between.
+            mResponse.fail(kind);
+        }
+    }
+
+    private void cancelAfterFault(ErrorKind kind) {
+        if (mClosed) {
+            return;
+        }
         try {
             cancelOrWithdraw();
         } finally {
             if (!mClosed) {
                 finishWithError(kind);
             }
-            mResponse.fail(kind);
         }
     }
 
@@ -485,11 +493,11 @@
     private void close() {
         mClosed = true;
         mCall = null;
-        mRequestBody.release();
         mRelays.remove(this);
         if (mTimer != null) {
             mTimer.cancel(false);
         }
+        mRequestBody.release();
     }
 
     /**
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/FaultBetweenStepsLosesAnswerTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/FaultBetweenStepsLosesAnswerTest.java
@@ -200,4 +200,13 @@
                 .get();
         assertThat(mResponse.mEnd.get()).isEqualTo("fail INTERNAL_AFTER_START");
     }
+
+    @Test
+    void endsARequestWhoseErrorResponseFails() throws Exception {
+        mResponse.mFailError = true;
+        // Without a configuration, the request is rejected.
+        mLoop.submit(() -> accept("lost", mResponse)).get();
+        assertThat(mResponse.mEnd).isDone();
+        assertThat(mRelays.inFlight()).isZero();
+    }
 }
