Free the place of a request whose start fails

What callers saw: after a fault between the decision of a pool and the attempt, an upstream had one place less until a restart; with each such fault, requests waited longer and were refused.

Cause: the place was released only if there was an attempt, which is created some steps later.

Change: the place is released whenever there is one, also if the cancel of the attempt fails.

Evidence: the new test lets the first step of a start fail. Before, the pool still counted one running request (running=1); now it counts none.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -324,11 +324,17 @@
 
     /** Cancels the attempt in flight, or withdraws the request from the pool if none is. */
     private void cancelOrWithdraw() {
-        if (mCall != null) {
-            mCall.cancel();
-            releaseTicket(Optional.of(AttemptEnd.CANCELLED));
-        } else if (mJob != null) {
-            mRelays.withdraw(mJob);
+        try {
+            if (mCall != null) {
+                mCall.cancel();
+            }
+        } finally {
+            // The call may be missing if a fault came between the decision of the pool and it.
+            if (mTicket != null) {
+                releaseTicket(Optional.of(AttemptEnd.CANCELLED));
+            } else if (mJob != null) {
+                mRelays.withdraw(mJob);
+            }
         }
     }
 
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/FaultBetweenStepsLosesAnswerTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/FaultBetweenStepsLosesAnswerTest.java
@@ -209,4 +209,18 @@
         assertThat(mResponse.mEnd).isDone();
         assertThat(mRelays.inFlight()).isZero();
     }
+
+    @Test
+    void freesTheUpstreamOfARequestWhoseStartFails() throws Exception {
+        mLoop.submit(
+                        () -> {
+                            configure();
+                            mFailStart = true;
+                            accept("lost", mResponse);
+                        })
+                .get();
+        assertThat(mResponse.mEnd.get()).isEqualTo("fail INTERNAL");
+        assertThat(mLoop.submit(() -> mPools.pools().get("s").scheduler().ownUse(1_000_000).uses()).get())
+                .isEmpty();
+    }
 }
