Flush a response together with its last part

What callers saw: a request without an answer on an open connection if a fault followed the write of its response.

Cause: the response was marked as ended when it was written, and flushed a few steps later. A fault between left it in the buffer, and the step after a fault took it for sent.

Change: the last part of a response is written and flushed at once.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -220,7 +220,6 @@
             mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        mChannel.flush();
         mChannel.config().setAutoRead(true);
         handlePipelined();
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
@@ -48,7 +48,7 @@
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         setConnectionHeader(headers);
         mEnded = true;
-        mChannel.write(response);
+        mChannel.writeAndFlush(response);
         mConnection.responseEnded(mCloseAnnounced);
     }
 
@@ -68,7 +68,7 @@
     @Override
     public void end() {
         mEnded = true;
-        mChannel.write(LastHttpContent.EMPTY_LAST_CONTENT);
+        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         mConnection.responseEnded(mCloseAnnounced);
     }
 
