Leave a connection alone once it is given back

What callers saw: a request without an answer until its timeout, after a fault in the request before it on the same connection to an upstream.

Cause: a completed attempt kept its connection. A fault in a later step of it, or a slow caller, closed or paused that connection although another request might use it by then.

Change: an attempt forgets its connection before it gives it back.

Evidence: in the new test the next request takes the connection before the fault comes. Before, it ended with DEADLINE_AFTER_START after its timeout of 5 s; now its response is relayed on the same connection.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -152,7 +152,7 @@
      * that may not continues, because its upstream might.
      */
     void tick(long nowMillis) {
-        if (!mSent || !mStallWatch.isStalled(nowMillis)) {
+        if (mEnded || !mSent || !mStallWatch.isStalled(nowMillis)) {
             return;
         }
         if (mRelay.attempts().mayRunAgain(mContext.budget(), nowMillis)) {
@@ -280,7 +280,10 @@
     @Override
     public void onComplete() {
         mEnded = true;
-        mRelay.connections().release(mUpstream, mConnection, mContext.nowMillis());
+        HttpConnection connection = mConnection;
+        // Another request may use it from now on.
+        mConnection = null;
+        mRelay.connections().release(mUpstream, connection, mContext.nowMillis());
         HttpResponseStatus status = mResponse.status();
         if (mParsedHead.notRun() && isSuccess(status)) {
             endAttempt(AttemptEnd.MALFORMED);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/FaultBetweenStepsLosesAnswerTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/FaultBetweenStepsLosesAnswerTest.java
@@ -220,7 +220,34 @@
                         })
                 .get();
         assertThat(mResponse.mEnd.get()).isEqualTo("fail INTERNAL");
-        assertThat(mLoop.submit(() -> mPools.pools().get("s").scheduler().ownUse(1_000_000).uses()).get())
+        assertThat(
+                        mLoop.submit(
+                                        () ->
+                                                mPools.pools()
+                                                        .get("s")
+                                                        .scheduler()
+                                                        .ownUse(1_000_000)
+                                                        .uses())
+                                .get())
                 .isEmpty();
     }
+
+    /** The connection is back in use when the fault ends the request that used it before. */
+    @Test
+    void keepsTheConnectionThatTheNextRequestUses() throws Exception {
+        FakeResponse next = new FakeResponse();
+        mResponse.mOnComplete =
+                () -> {
+                    accept("2", next);
+                    throw new IllegalStateException("response");
+                };
+        mLoop.submit(
+                        () -> {
+                            configure();
+                            accept("1", mResponse);
+                        })
+                .get();
+        assertThat(next.mEnd.get()).isEqualTo("complete");
+        assertThat(mUpstream.connectionCount()).isEqualTo(1);
+    }
 }
