Close a connection whose response cannot be written

What callers saw: no answer and an open connection if the encoder could not write a head, a complete response or the end of a stream.

Cause: nobody looked at the results of these writes; only chunks passed a failure on.

Change: a failed write closes the connection, with the line caller.unwritten.

Evidence: the new test lets each write fail. The connection stayed open before and is closed now.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -255,6 +256,20 @@
         }
     }
 
+    /**
+     * Closes the connection if a part of a response cannot be written, so that the caller does not
+     * wait for it.
+     */
+    void closeIfUnwritten(ChannelFuture write) {
+        write.addListener(
+                done -> {
+                    if (!done.isSuccess() && mChannel.isOpen()) {
+                        mChannel.close();
+                        mServer.log().line("caller.unwritten").withFault(done.cause()).log();
+                    }
+                });
+    }
+
     /** Closes the connection in the middle of a response. */
     void abort() {
         mRelay = null;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
@@ -48,7 +48,7 @@
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         setConnectionHeader(headers);
         mEnded = true;
-        mChannel.writeAndFlush(response);
+        mConnection.closeIfUnwritten(mChannel.writeAndFlush(response));
         mConnection.responseEnded(mCloseAnnounced);
     }
 
@@ -57,7 +57,8 @@
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         setConnectionHeader(headers);
         mHeadSent = true;
-        mChannel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
+        mConnection.closeIfUnwritten(
+                mChannel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers)));
     }
 
     @Override
@@ -68,7 +69,7 @@
     @Override
     public void end() {
         mEnded = true;
-        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        mConnection.closeIfUnwritten(mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
         mConnection.responseEnded(mCloseAnnounced);
     }
 
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/UnwrittenResponseTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/UnwrittenResponseTest.java
@@ -4,9 +4,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.ReferenceCountUtil;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -99,6 +103,7 @@
         return text.toString();
     }
 
+
     /** The clock is read when the head arrives and after the response. */
     @Test
     void writesAResponseThatIsFollowedByAFault() {
@@ -106,4 +111,20 @@
         read(REQUEST);
         assertThat(written()).startsWith("HTTP/1.1 503 ");
     }
+
+    @Test
+    void closesAConnectionWhoseResponseCannotBeWritten() {
+        mChannel.pipeline()
+                .addFirst(
+                        new ChannelOutboundHandlerAdapter() {
+                            @Override
+                            public void write(
+                                    ChannelHandlerContext ctx, Object msg, ChannelPromise promise) {
+                                ReferenceCountUtil.release(msg);
+                                promise.setFailure(new IllegalStateException("encoder"));
+                            }
+                        });
+        read(REQUEST);
+        assertThat(mChannel.isOpen()).isFalse();
+    }
 }
