Answer a request whose handling fails after the previous response

What callers saw: no answer to a request that was sent together with the one before, if the gateway failed to handle its head or body.

Cause: requests that were read during a response are handled at its end, within the guard of the answered request. A fault in them was logged with that one and changed nothing, because it had ended.

Change: a fault in them ends the connection as one in a request that is handled at once: with an answer, and with its own line.

Evidence: the new test lets the handling of the second head fail. Before, only the first request was answered; now the second one gets 500.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -237,13 +237,22 @@
         mHandlingPipelined = true;
         try {
             while (!mResponding && !mClosing && !mPipelined.isEmpty()) {
-                handle(mPipelined.poll());
+                handleGuarded(mPipelined.poll());
             }
         } finally {
             mHandlingPipelined = false;
         }
     }
 
+    /** Handles an object; a fault is not passed on, because the previous request is answered. */
+    private void handleGuarded(Object msg) {
+        try {
+            handle(msg);
+        } catch (RuntimeException | Error e) {
+            endAfterFault(e);
+        }
+    }
+
     /** Logs the requests that the caller sent after it had received the request to close. */
     private void logDropped() {
         long dropped = mPipelined.stream().filter(HttpRequest.class::isInstance).count();
@@ -288,8 +297,13 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
             ctx.close();
-            return;
+        } else {
+            endAfterFault(cause);
         }
+    }
+
+    /** Ends the connection after a fault, with an answer to the request if one was begun. */
+    private void endAfterFault(Throwable cause) {
         mServer.log()
                 .line("caller.fault")
                 .with("path", mHead == null ? "" : mHead.uri())
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/UnwrittenResponseTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/UnwrittenResponseTest.java
@@ -103,6 +103,17 @@
         return text.toString();
     }
 
+    /** Reads a request that waits for an upstream, and others with it. */
+    private void readWaitingRequest(String others) {
+        mContext.applyConfig(new FakeDialect().readConfig("", new byte[0]).orElseThrow());
+        read("POST /unsafe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: 1\r\n\r\n" + others);
+        assertThat(written()).isEmpty();
+    }
+
+    private void refuseWaitingRequest() {
+        mPools.tick(NOW_MILLIS + 10_000);
+        mChannel.runPendingTasks();
+    }
 
     /** The clock is read when the head arrives and after the response. */
     @Test
@@ -127,4 +138,14 @@
         read(REQUEST);
         assertThat(mChannel.isOpen()).isFalse();
     }
+
+    /** The clock is read after the first response and when the next head is handled. */
+    @Test
+    void answersARequestWhoseHandlingFailsAfterThePreviousResponse() {
+        readWaitingRequest(REQUEST);
+        mReadsUntilFault = 1;
+        refuseWaitingRequest();
+        assertThat(written()).matches("(?s)HTTP/1.1 503 .*HTTP/1.1 500 .*connection: close.*");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
 }
