Answer the requests in flight at the end of a stop

What callers saw: a closed connection instead of an answer for requests that waited in a pool, were queued behind another response or had no response yet when the grace time of a stop ended.

Cause: at the time to close the rest, the stop returned at once and the process closed all connections.

Change: at that time the requests in flight end as at their deadline: 503 if never sent, 504 if sent, a broken-off stream if its head was relayed. Those queued behind them are refused. The line request.timed-out names the cause in endedBy.

Evidence: the new test has one request at an upstream and one behind it. Before, the read of the first answer timed out; now 504 and 503 arrive and the connection is closed.

The formatter also joined a line in Relays.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -76,6 +76,9 @@
     private volatile long mStopGraceMillis;
     private Optional<StopPlan> mStopPlan = Optional.empty();
 
+    /** Whether the requests in flight were ended because the time to stop has come. */
+    private boolean mRequestsEnded;
+
     /** Creates a gateway that is not started. */
     public Gateway(
             GatewaySettings settings, Dialect dialect, EventLog log, LongSupplier clockMillis) {
@@ -320,7 +323,8 @@
 
     /**
      * Closes connections once the stop plan accepts no more requests, and lets {@link #stop} return
-     * when none is left or the plan's time to close the rest has come.
+     * when none is left. When the plan's time to close the rest has come, ends the requests in
+     * flight first, and lets it return at the next sweep, when their answers are written.
      */
     private void advanceStop(long nowMillis) {
         if (mStopPlan.isEmpty()) {
@@ -331,8 +335,11 @@
             mCallers.closeWhenIdle();
         }
         boolean idle = mCallers.isClosing() && mCallers.connectionCount() == 0;
-        if (idle || plan.mustClose(nowMillis)) {
+        if (idle || mRequestsEnded) {
             mStopped.countDown();
+        } else if (plan.mustClose(nowMillis)) {
+            mRequestsEnded = true;
+            mRelays.endAll();
         }
     }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -130,7 +130,7 @@
         mTimer =
                 mContext.loop()
                         .schedule(
-                                () -> mGuard.run(this::onTimeout),
+                                () -> mGuard.run(() -> endUnanswered("deadline")),
                                 Math.max(0, remainingMillis),
                                 TimeUnit.MILLISECONDS);
         submitToPool(mContext.nowMillis());
@@ -207,7 +207,7 @@
         if (mRequest.isExpired(nowMillis)) {
             // The decision arrived after the request's deadline, as on a stalled machine.
             releaseTicket(Optional.of(AttemptEnd.CANCELLED));
-            onTimeout();
+            endUnanswered("deadline");
             return;
         }
         Optional<Quarantine> quarantine = findQuarantine(nowMillis);
@@ -302,7 +302,12 @@
         }
     }
 
-    private void onTimeout() {
+    /** Ends the request because the gateway stops now. */
+    void endForStop() {
+        endUnanswered("stop");
+    }
+
+    private void endUnanswered(String cause) {
         if (mClosed) {
             return;
         }
@@ -312,6 +317,7 @@
                         ? ErrorKind.DEADLINE_AFTER_START
                         : ErrorKind.INSTANCE_QUEUE_FULL;
         withPlacement(logLine("request.timed-out"))
+                .with("endedBy", cause)
                 .with("error", kind.wireName())
                 .with("answering", mAttempts.isHeadRelayed())
                 .with("tookMillis", elapsedMillis())
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -125,8 +125,7 @@
         return relay;
     }
 
-    private void admitOrReject(
-            Relay relay, HttpRequest head, ByteBuf body, long arrivedMillis) {
+    private void admitOrReject(Relay relay, HttpRequest head, ByteBuf body, long arrivedMillis) {
         Optional<RequestHead> parsedHead = mContext.dialect().readRequest(head);
         Optional<TrafficConfig> config = mContext.config();
         if (parsedHead.isEmpty()) {
@@ -187,6 +186,13 @@
         relay.admit(request, rank);
     }
 
+    /** Ends the requests in flight, because the gateway stops now. */
+    public void endAll() {
+        for (Relay relay : List.copyOf(mInFlight)) {
+            relay.guard().run(relay::endForStop);
+        }
+    }
+
     /** Checks the streams in flight for stalls. */
     public void tick(long nowMillis) {
         for (Relay relay : List.copyOf(mInFlight)) {
