--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -220,7 +221,6 @@
             mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        mChannel.flush();
         mChannel.config().setAutoRead(true);
         handlePipelined();
     }
@@ -237,13 +237,22 @@
         mHandlingPipelined = true;
         try {
             while (!mResponding && !mClosing && !mPipelined.isEmpty()) {
-                handle(mPipelined.poll());
+                handleGuarded(mPipelined.poll());
             }
         } finally {
             mHandlingPipelined = false;
         }
     }
 
+    /** Handles an object; a fault is not passed on, because the previous request is answered. */
+    private void handleGuarded(Object msg) {
+        try {
+            handle(msg);
+        } catch (RuntimeException | Error e) {
+            endAfterFault(e);
+        }
+    }
+
     /** Logs the requests that the caller sent after it had received the request to close. */
     private void logDropped() {
         long dropped = mPipelined.stream().filter(HttpRequest.class::isInstance).count();
@@ -256,6 +265,20 @@
         }
     }
 
+    /**
+     * Closes the connection if a part of a response cannot be written, so that the caller does not
+     * wait for it.
+     */
+    void closeIfUnwritten(ChannelFuture write) {
+        write.addListener(
+                done -> {
+                    if (!done.isSuccess() && mChannel.isOpen()) {
+                        mChannel.close();
+                        mServer.log().line("caller.unwritten").withFault(done.cause()).log();
+                    }
+                });
+    }
+
     /** Closes the connection in the middle of a response. */
     void abort() {
         mRelay = null;
@@ -274,8 +297,13 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
             ctx.close();
-            return;
+        } else {
+            endAfterFault(cause);
         }
+    }
+
+    /** Ends the connection after a fault, with an answer to the request if one was begun. */
+    private void endAfterFault(Throwable cause) {
         mServer.log()
                 .line("caller.fault")
                 .with("path", mHead == null ? "" : mHead.uri())
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -84,20 +84,28 @@
 
     /** Ends the request after a fault of the gateway itself, which was logged. */
     void endWithFault() {
-        if (mClosed) {
-            return;
-        }
         boolean mayHaveRun =
                 mAttempts != null
-                        && (mAttempts.mayHaveRun() || (mCall != null && mCall.mayHaveSent()));
+                        && (mAttempts.sends() > 0 || (mCall != null && mCall.mayHaveSent()));
         ErrorKind kind = mayHaveRun ? ErrorKind.INTERNAL_AFTER_START : ErrorKind.INTERNAL;
+        try {
+            cancelAfterFault(kind);
+        } finally {
+            // A request is closed before it is answered, so the fault may have been in between.
+            mResponse.fail(kind);
+        }
+    }
+
+    private void cancelAfterFault(ErrorKind kind) {
+        if (mClosed) {
+            return;
+        }
         try {
             cancelOrWithdraw();
         } finally {
             if (!mClosed) {
                 finishWithError(kind);
             }
-            mResponse.fail(kind);
         }
     }
 
@@ -122,7 +130,7 @@
         mTimer =
                 mContext.loop()
                         .schedule(
-                                () -> mGuard.run(this::onTimeout),
+                                () -> mGuard.run(() -> endUnanswered("deadline")),
                                 Math.max(0, remainingMillis),
                                 TimeUnit.MILLISECONDS);
         submitToPool(mContext.nowMillis());
@@ -199,7 +207,7 @@
         if (mRequest.isExpired(nowMillis)) {
             // The decision arrived after the request's deadline, as on a stalled machine.
             releaseTicket(Optional.of(AttemptEnd.CANCELLED));
-            onTimeout();
+            endUnanswered("deadline");
             return;
         }
         Optional<Quarantine> quarantine = findQuarantine(nowMillis);
@@ -294,7 +302,12 @@
         }
     }
 
-    private void onTimeout() {
+    /** Ends the request because the gateway stops now. */
+    void endForStop() {
+        endUnanswered("stop");
+    }
+
+    private void endUnanswered(String cause) {
         if (mClosed) {
             return;
         }
@@ -304,6 +317,7 @@
                         ? ErrorKind.DEADLINE_AFTER_START
                         : ErrorKind.INSTANCE_QUEUE_FULL;
         withPlacement(logLine("request.timed-out"))
+                .with("endedBy", cause)
                 .with("error", kind.wireName())
                 .with("answering", mAttempts.isHeadRelayed())
                 .with("tookMillis", elapsedMillis())
@@ -316,11 +330,17 @@
 
     /** Cancels the attempt in flight, or withdraws the request from the pool if none is. */
     private void cancelOrWithdraw() {
-        if (mCall != null) {
-            mCall.cancel();
-            releaseTicket(Optional.of(AttemptEnd.CANCELLED));
-        } else if (mJob != null) {
-            mRelays.withdraw(mJob);
+        try {
+            if (mCall != null) {
+                mCall.cancel();
+            }
+        } finally {
+            // The call may be missing if a fault came between the decision of the pool and it.
+            if (mTicket != null) {
+                releaseTicket(Optional.of(AttemptEnd.CANCELLED));
+            } else if (mJob != null) {
+                mRelays.withdraw(mJob);
+            }
         }
     }
 
@@ -485,11 +505,11 @@
     private void close() {
         mClosed = true;
         mCall = null;
-        mRequestBody.release();
         mRelays.remove(this);
         if (mTimer != null) {
             mTimer.cancel(false);
         }
+        mRequestBody.release();
     }
 
     /**
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -186,6 +186,13 @@
         relay.admit(request, rank);
     }
 
+    /** Ends the requests in flight, because the gateway stops now. */
+    public void endAll() {
+        for (Relay relay : List.copyOf(mInFlight)) {
+            relay.guard().run(relay::endForStop);
+        }
+    }
+
     /** Checks the streams in flight for stalls. */
     public void tick(long nowMillis) {
         for (Relay relay : List.copyOf(mInFlight)) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -82,12 +82,15 @@
         mConnection = connection;
         mResumed = mRelay.attempts().isHeadRelayed();
         mStallWatch = new StreamWatch(mRequest.route(), mContext.nowMillis());
-        if (connection.send(forwardedHead(), mRelay.requestBody(), mRelay.guard().guarded(this))) {
-            mSent = true;
+        HttpRequest head = forwardedHead();
+        // Set before, because a fault may follow the first bytes that are sent.
+        mSent = true;
+        if (connection.send(head, mRelay.requestBody(), mRelay.guard().guarded(this))) {
             mRelay.connections().sent(connection);
             mSentMillis = mContext.nowMillis();
             mRelay.attempts().sent(mUpstream.id());
         } else {
+            mSent = false;
             onFailure(AttemptEnd.NOT_SENT);
         }
     }
@@ -149,7 +152,7 @@
      * that may not continues, because its upstream might.
      */
     void tick(long nowMillis) {
-        if (!mSent || !mStallWatch.isStalled(nowMillis)) {
+        if (mEnded || !mSent || !mStallWatch.isStalled(nowMillis)) {
             return;
         }
         if (mRelay.attempts().mayRunAgain(mContext.budget(), nowMillis)) {
@@ -277,7 +280,10 @@
     @Override
     public void onComplete() {
         mEnded = true;
-        mRelay.connections().release(mUpstream, mConnection, mContext.nowMillis());
+        HttpConnection connection = mConnection;
+        // Another request may use it from now on.
+        mConnection = null;
+        mRelay.connections().release(mUpstream, connection, mContext.nowMillis());
         HttpResponseStatus status = mResponse.status();
         if (mParsedHead.notRun() && isSuccess(status)) {
             endAttempt(AttemptEnd.MALFORMED);
