Log and tell only extensions of a pause that matter

Requests that are refused at the same time each extended the pause by some milliseconds, with a log line and a version each. An extension by less than 100 ms since the last one that was told now only changes the value here.

UpstreamPausesTest failed before with 100 changes instead of 1; its 9 tests pass.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/limit/UpstreamPauses.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/limit/UpstreamPauses.java
@@ -23,11 +23,18 @@
      */
     private static final long MAX_PAUSE_MILLIS = 600_000;
 
+    /** The extension from which a longer pause is logged and told, in milliseconds. */
+    private static final long MIN_EXTENSION_MILLIS = 100;
+
     /** The maximum number of other instances whose pauses are kept. */
     private static final int MAX_INSTANCES = 1_024;
 
     private final ChangeLog<UpstreamIncarnation> mChangeLog = new ChangeLog<>();
-    private final InstancePauses mOwn = new InstancePauses(mChangeLog::removed);
+    private final InstancePauses mOwn = new InstancePauses(this::forget);
+
+    /** The ends of the own pauses as they were last logged and told to other instances. */
+    private final Map<UpstreamIncarnation, Long> mToldEndMillis = new HashMap<>();
+
     private final Map<InstanceId, Peer> mPeers = new HashMap<>();
     private final List<PauseChange> mChanges = new ArrayList<>();
 
@@ -42,12 +49,23 @@
             return;
         }
         UpstreamPause pause = new UpstreamPause(incarnation, end(pauseMillis, nowMillis));
-        if (mOwn.add(pause)) {
+        if (mOwn.add(pause) && isToBeTold(pause)) {
+            mToldEndMillis.put(incarnation, pause.endMillis());
             mChangeLog.changed(incarnation);
             mChanges.add(new PauseChange(PauseChange.Kind.PAUSED, pause, "request " + request));
         }
     }
 
+    private boolean isToBeTold(UpstreamPause pause) {
+        Long told = mToldEndMillis.get(pause.incarnation());
+        return told == null || pause.endMillis() - told >= MIN_EXTENSION_MILLIS;
+    }
+
+    private void forget(UpstreamIncarnation incarnation) {
+        mChangeLog.removed(incarnation);
+        mToldEndMillis.remove(incarnation);
+    }
+
     private static long end(long pauseMillis, long nowMillis) {
         return nowMillis + Math.min(MAX_PAUSE_MILLIS, pauseMillis);
     }
@@ -89,7 +107,7 @@
     /** Ends the pauses whose time is over. */
     public void tick(long nowMillis) {
         for (UpstreamPause each : mOwn.removeEnded(nowMillis)) {
-            mChangeLog.removed(each.incarnation());
+            forget(each.incarnation());
             mChanges.add(new PauseChange(PauseChange.Kind.PAUSE_ENDED, each, "the time is over"));
         }
         mPeers.values()
--- a/magnoliapick-core/src/test/java/org/magnoliapick/limit/UpstreamPausesTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/limit/UpstreamPausesTest.java
@@ -116,6 +116,23 @@
                 .containsExactly(new UpstreamPause(UPSTREAM, 23_000));
     }
 
+    /** Guards against a log line and an update for each of many refusals at the same time. */
+    @Test
+    void tellsOnlyExtensionsThatMatter() {
+        mPauses.record(UPSTREAM, "r0", 3_000, 1_000);
+        long version = mPauses.updateFor(0).orElseThrow().version();
+        for (int i = 1; i < 100; i++) {
+            mPauses.record(UPSTREAM, "r" + i, 3_000, 1_000 + i);
+        }
+        assertThat(remainingMillis(UPSTREAM, 1_099)).isEqualTo(3_000);
+        assertThat(mPauses.takeChanges()).hasSize(1);
+        assertThat(mPauses.updateFor(version)).isEmpty();
+        // Many small extensions together matter.
+        mPauses.record(UPSTREAM, "last", 3_000, 1_100);
+        assertThat(mPauses.takeChanges()).hasSize(1);
+        assertThat(mPauses.updateFor(version)).isPresent();
+    }
+
     @Test
     void isBounded() {
         for (int i = 0; i < 3_000; i++) {
