Bound the crashes in an update on suspects

Other instances would see: updates of 16 suspects and 4 urgent ones with up to 8 crashes of 4 requests each, some 15 to 20 KB in one datagram (estimated from the fields, not measured), of which the loss of a fragment loses all.

Change: an update has at most 32 crashes, of them at most 24 of urgent suspects, which is around 4 KB by the same estimate. The rest follows in the next updates, as for the number of suspects. Fingerprints of a single crash are never urgent.

Evidence: found by reading. The test, with 40 parts of eight crashes, failed before by more crashes than the bound.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
@@ -25,6 +25,12 @@
     /** The number of these that may be sent before others that changed earlier. */
     private static final int MAX_URGENT_REPORTS = 4;
 
+    /** The maximum number of crashes in one update, which has to fit into few packets. */
+    private static final int MAX_CRASHES = 32;
+
+    /** The number of these that urgent suspects may take. */
+    private static final int MAX_URGENT_CRASHES = 24;
+
     private final Map<SuspectKey, Suspect> mSuspects = new HashMap<>();
     private final Map<SuspectKey, Long> mVersions = new HashMap<>();
 
@@ -126,8 +132,12 @@
                         .filter(each -> versionOf(each) > known)
                         .sorted(Comparator.comparingLong(this::versionOf))
                         .toList();
-        List<Suspect> urgent = changed.size() > MAX_REPORTS ? urgent(changed) : List.of();
-        int inOrder = Math.min(changed.size(), MAX_REPORTS - urgent.size());
+        int inOrder = fitting(changed, MAX_REPORTS, MAX_CRASHES).size();
+        List<Suspect> urgent = inOrder < changed.size() ? urgent(changed) : List.of();
+        if (!urgent.isEmpty()) {
+            int left = MAX_CRASHES - urgent.stream().mapToInt(Suspect::sightingCount).sum();
+            inOrder = fitting(changed, MAX_REPORTS - urgent.size(), left).size();
+        }
         boolean all = inOrder == changed.size();
         return Optional.of(
                 new SuspectUpdate(
@@ -143,7 +153,10 @@
      * again by that one. Refutations have a place, since they end quarantines of sound parts.
      */
     private static List<Suspect> urgent(List<Suspect> changed) {
-        List<Suspect> waiting = changed.stream().skip(MAX_REPORTS - MAX_URGENT_REPORTS).toList();
+        int certain =
+                fitting(changed, MAX_REPORTS - MAX_URGENT_REPORTS, MAX_CRASHES - MAX_URGENT_CRASHES)
+                        .size();
+        List<Suspect> waiting = changed.stream().skip(certain).toList();
         List<Suspect> accused =
                 waiting.stream()
                         .filter(each -> each.crashes() > 1)
@@ -154,14 +167,29 @@
                         .filter(each -> each.crashes() == 0 && each.sightingCount() > 1)
                         .sorted(Comparator.comparingInt(Suspect::sightingCount).reversed())
                         .toList();
-        return Stream.of(
-                        accused.stream().limit(1),
-                        refuted.stream().limit(1),
-                        accused.stream().skip(1),
-                        refuted.stream().skip(1))
-                .flatMap(each -> each)
-                .limit(MAX_URGENT_REPORTS)
-                .toList();
+        List<Suspect> urgent =
+                Stream.of(
+                                accused.stream().limit(1),
+                                refuted.stream().limit(1),
+                                accused.stream().skip(1),
+                                refuted.stream().skip(1))
+                        .flatMap(each -> each)
+                        .toList();
+        return fitting(urgent, MAX_URGENT_REPORTS, MAX_URGENT_CRASHES);
+    }
+
+    /** Returns the first suspects that together have at most so many crashes. */
+    private static List<Suspect> fitting(List<Suspect> suspects, int maxSuspects, int maxCrashes) {
+        int count = 0;
+        int crashes = 0;
+        while (count < Math.min(maxSuspects, suspects.size())) {
+            crashes += suspects.get(count).sightingCount();
+            if (crashes > maxCrashes) {
+                break;
+            }
+            count++;
+        }
+        return suspects.subList(0, count);
     }
 
     private long versionOf(Suspect suspect) {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -560,6 +560,30 @@
         assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.FINGERPRINT)).isZero();
     }
 
+    /** Updates travel as single datagrams. */
+    @Test
+    void boundsTheCrashesOfAnUpdate() {
+        for (int i = 0; i < 40; i++) {
+            for (int j = 0; j < 8; j++) {
+                crash("request-" + j, 1_000 + 300 * j, "part-" + i);
+            }
+        }
+        PromptQuarantine other = new PromptQuarantine();
+        long version = 0;
+        Optional<SuspectUpdate> update = mQuarantine.updateFor(version);
+        while (update.isPresent()) {
+            int crashes =
+                    update.get().suspects().stream()
+                            .mapToInt(each -> each.sightings().size())
+                            .sum();
+            assertThat(crashes).isLessThanOrEqualTo(32);
+            version = send(mQuarantine, other, version);
+            update = mQuarantine.updateFor(version);
+        }
+        assertThat(other.suspectedCount(SuspectKey.Kind.PART)).isEqualTo(40);
+        assertThat(other.quarantinedCount(SuspectKey.Kind.PART, 4_000)).isEqualTo(40);
+    }
+
     /** Sends what the receiver lacks; returns the version that it knows then. */
     private static long send(PromptQuarantine from, PromptQuarantine to, long knownVersion) {
         SuspectUpdate update = from.updateFor(knownVersion).orElseThrow();
