--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -584,6 +584,18 @@
         assertThat(other.quarantinedCount(SuspectKey.Kind.PART, 4_000)).isEqualTo(40);
     }
 
+    /** An older build does not tell what a request consists of. */
+    @Test
+    void doesNotSuspectRequestsOfUnknownContent() {
+        RequestContent unknown = new RequestContent("s", prompt("part"), Fingerprint.UNKNOWN);
+        for (int i = 1; i <= 5; i++) {
+            mQuarantine.recordCrash(unknown, new UpstreamId("u" + i), 1, 1_000L * i, 1_000L * i);
+        }
+        assertThat(mQuarantine.suspectedCount(SuspectKey.Kind.FINGERPRINT)).isZero();
+        assertThat(mQuarantine.find(unknown, 5_000)).isEmpty();
+        assertThat(mQuarantine.admit(unknown, 5_000)).isEmpty();
+    }
+
     /** Sends what the receiver lacks; returns the version that it knows then. */
     private static long send(PromptQuarantine from, PromptQuarantine to, long knownVersion) {
         SuspectUpdate update = from.updateFor(knownVersion).orElseThrow();
