--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectTable.java
@@ -29,7 +29,7 @@
     private static final int MAX_CRASHES = 32;
 
     /** The number of these that urgent suspects may take. */
-    private static final int MAX_URGENT_CRASHES = 16;
+    private static final int MAX_URGENT_CRASHES = 24;
 
     private final Map<SuspectKey, Suspect> mSuspects = new HashMap<>();
     private final Map<SuspectKey, Long> mVersions = new HashMap<>();
