Keep the counts of the retry budget at a reload of the settings

What callers saw: nothing directly; after each reload of the settings an instance could use its whole share of retries again, beyond the budget of the fleet, and its share for recent requests was gone.

Cause: the new budget adopted the size of the fleet only.

Change: it adopts the counts as well if the window has the same length. With another length they are forgotten as before.

Evidence: the new test uses up a budget and replaces it.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/FleetRetryBudget.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/FleetRetryBudget.java
@@ -48,9 +48,15 @@
         mInstances = Math.max(mInstances, instances);
     }
 
-    /** Adopts the size of the fleet from the budget that this one replaces. */
-    public void adoptFleetSize(FleetRetryBudget former) {
+    /**
+     * Adopts the size of the fleet from the budget that this one replaces, and what it counted if
+     * the length of the window is the same.
+     */
+    public void adopt(FleetRetryBudget former) {
         updateFleetSize(former.mInstances);
+        if (mBucketMillis == former.mBucketMillis) {
+            mWindows.putAll(former.mWindows);
+        }
     }
 
     /** Counts a request from a caller for a service. */
--- a/magnoliapick-core/src/test/java/org/magnoliapick/relay/FleetRetryBudgetTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/relay/FleetRetryBudgetTest.java
@@ -54,4 +54,14 @@
         allowed(budget, 0);
         assertThat(budget.tryRetry("other", 0)).isTrue();
     }
+
+    /** Guards against a budget that is whole again after each reload of the settings. */
+    @Test
+    void keepsCountsWhenTheSettingsAreReplaced() {
+        FleetRetryBudget former = new FleetRetryBudget(0.2, 12, 10_000, 1);
+        assertThat(allowed(former, 5_000)).isPositive();
+        FleetRetryBudget budget = new FleetRetryBudget(0.2, 12, 10_000, 1);
+        budget.adopt(former);
+        assertThat(allowed(budget, 5_000)).isZero();
+    }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
@@ -94,9 +94,9 @@
         mBudget.updateFleetSize(instances);
     }
 
-    /** Replaces the retry budget, carrying over the number of instances that share it. */
+    /** Replaces the retry budget, which adopts what the former one knows. */
     public void setBudget(FleetRetryBudget budget) {
-        budget.adoptFleetSize(mBudget);
+        budget.adopt(mBudget);
         mBudget = budget;
     }
 
