Let each pool run when another one fails

What callers saw: a fault in the pool of one service kept requests of other services waiting, because ticks, configurations, shares and changes of upstreams did not reach the pools after it.

Cause: loops over all pools ended at the first fault.

Change: each pool has its turn; then the fault is passed on to the guard of the step, which logs it. Connections to unusable upstreams are closed in any case.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -88,14 +89,22 @@
     /** Applies a version of the configuration to the existing pools. */
     public void applyConfig(TrafficConfig config) {
         mConfig = Optional.of(config);
-        mPools.forEach((name, pool) -> config.service(name).ifPresent(pool.scheduler()::configure));
+        forEachPool((name, pool) -> config.service(name).ifPresent(pool.scheduler()::configure));
     }
 
     /**
      * Applies a change of the upstream directory and closes connections to upstreams now unusable.
      */
     public void upstreamsChanged(long nowMillis) {
-        mPools.forEach((name, pool) -> setUpstreams(name, pool.scheduler(), nowMillis));
+        try {
+            forEachPool((name, pool) -> setUpstreams(name, pool.scheduler(), nowMillis));
+        } finally {
+            closeUnusable();
+            tick(nowMillis);
+        }
+    }
+
+    private void closeUnusable() {
         Map<UpstreamId, ListedUpstream> usable = new HashMap<>();
         mDirectory.usable().forEach(each -> usable.put(each.id(), each));
         mConnections
@@ -110,7 +119,24 @@
                             }
                             return stale;
                         });
-        tick(nowMillis);
+    }
+
+    /** Runs a step for each pool; a fault in one is passed on after the others had their turn. */
+    private void forEachPool(BiConsumer<String, ServicePool> step) {
+        List<Throwable> faults = new ArrayList<>();
+        Map.copyOf(mPools)
+                .forEach(
+                        (name, pool) -> {
+                            try {
+                                step.accept(name, pool);
+                            } catch (RuntimeException | Error e) {
+                                faults.add(e);
+                            }
+                        });
+        if (!faults.isEmpty()) {
+            throw new IllegalStateException(
+                    faults.size() + " pools failed, the first by " + faults.get(0), faults.get(0));
+        }
     }
 
     private void setUpstreams(String service, PoolScheduler scheduler, long nowMillis) {
@@ -157,7 +183,7 @@
     /** Sets the part of the fleet for which this instance decides. */
     public void setShare(FleetShare share, long nowMillis) {
         mShare = share;
-        mPools.values().forEach(pool -> pool.scheduler().setShare(share, nowMillis));
+        forEachPool((name, pool) -> pool.scheduler().setShare(share, nowMillis));
     }
 
     /** Reports to the dispatcher soon, because a rate limit of an upstream has changed. */
@@ -211,9 +237,7 @@
     public void tick(long nowMillis) {
         Optional<InstanceId> dispatcher = mRemoteDispatcher.get();
         try {
-            for (ServicePool each : List.copyOf(mPools.values())) {
-                execute(each.tick(dispatcher, nowMillis));
-            }
+            forEachPool((name, pool) -> execute(pool.tick(dispatcher, nowMillis)));
         } finally {
             scheduleFlushAndTick();
         }
