--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -9,11 +9,9 @@
 import java.util.concurrent.TimeUnit;
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.gateway.ResponseHead;
-import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.pool.PoolAction;
-import org.magnoliapick.pool.PoolCause;
 import org.magnoliapick.pool.PoolJob;
 import org.magnoliapick.pool.Ticket;
 import org.magnoliapick.quarantine.Quarantine;
@@ -36,6 +34,7 @@
     private final RelayConnections mConnections;
     private final RelayedStream mStream = new RelayedStream();
     private final RelayGuard mGuard;
+    private final RelayLog mLog;
     private RelayRequest mRequest;
     private RelayAttempts mAttempts;
     private int mRank;
@@ -47,7 +46,6 @@
     /** The upstream of the last attempt, if it was unreachable or did not take the request. */
     private Set<UpstreamId> mLostUpstream = Set.of();
 
-    private Placement mPlacement;
     private long mFirstResponseMillis = -1;
 
     /** Whether the current attempt received a complete event. */
@@ -69,6 +67,7 @@
         mRequestBody = requestBody;
         mResponse = response;
         mGuard = new RelayGuard(this, context.log(), requestHead.uri());
+        mLog = new RelayLog(context);
         mConnections = new RelayConnections(pools, mGuard);
     }
 
@@ -111,12 +110,7 @@
 
     /** Rejects the request before it is submitted to a pool. */
     void reject(ErrorKind kind, OptionalLong retryAfterMillis) {
-        mContext.log()
-                .line("request.rejected")
-                .with("path", mRequestHead.uri())
-                .with("error", kind.wireName())
-                .with("configVersion", mContext.config().map(each -> each.version()).orElse(-1L))
-                .log();
+        mLog.rejected(mRequestHead.uri(), kind);
         finishWithError(kind);
         mResponse.sendError(kind, retryAfterMillis);
     }
@@ -124,6 +118,7 @@
     /** Starts the timeout and submits the request to its pool. */
     void admit(RelayRequest request, int rank) {
         mRequest = request;
+        mLog.setRequest(request);
         mRank = rank;
         mAttempts = new RelayAttempts(request);
         long remainingMillis = request.effectiveDeadlineMillis() - mContext.nowMillis();
@@ -171,14 +166,7 @@
     private void refuse(Quarantine quarantine, long nowMillis) {
         ErrorKind kind = mAttempts.reportableKind(ErrorKind.QUARANTINED);
         long retryAfterMillis = Math.max(1, quarantine.endMillis() - nowMillis);
-        logLine("request.refused")
-                .with("cause", PoolCause.QUARANTINED.logName())
-                .with("error", kind.wireName())
-                .with(quarantine.key().kind().fieldName(), quarantine.key().id())
-                .with("crashes", quarantine.crashes())
-                .with("attempts", mAttempts.sends())
-                .with("retryAfterMillis", retryAfterMillis)
-                .log();
+        mLog.quarantined(quarantine, kind, mAttempts.sends(), retryAfterMillis);
         endWithError(
                 kind,
                 kind.retryAfterMillis().isPresent()
@@ -216,17 +204,7 @@
             refuse(quarantine.get(), nowMillis);
             return;
         }
-        mPlacement =
-                new Placement(
-                        start.cause(),
-                        nowMillis - mJob.submittedMillis(),
-                        mTicket.upstream().id(),
-                        mTicket.newTokens(),
-                        mTicket.aheadTokens());
-        // Logged at placement, because an instance that is killed logs nothing at the end.
-        withPlacement(logLine(mAttempts.sends() == 0 ? "request.placed" : "request.placed-again"))
-                .with("attempt", mAttempts.sends() + 1)
-                .log();
+        mLog.placed(start, nowMillis - mJob.submittedMillis(), mAttempts.sends());
         UpstreamCall call = new UpstreamCall(mContext, mRequest, this, mTicket.upstream());
         mCall = call;
         mConnections.acquire(mTicket.upstream(), nowMillis, call);
@@ -239,7 +217,7 @@
 
     /** Has another upstream chosen, because the first no longer takes requests. */
     void placeAgain() {
-        withPlacement(logLine("request.not-sent")).log();
+        mLog.placedLine("request.not-sent").log();
         releaseTicket(Optional.of(AttemptEnd.CANCELLED));
         submitToPool(mJob.submittedMillis());
     }
@@ -251,18 +229,7 @@
     /** Fails the request because the pool refused it. */
     void poolRefused(PoolAction.Refuse refuse) {
         ErrorKind kind = mAttempts.reportableKind(refuse.cause().errorKind());
-        EventLog.Line line = logLine("request.refused");
-        if (refuse.cause() == PoolCause.QUARANTINED) {
-            line.with("parts", mRequest.prompt().describeParts())
-                    .with("fingerprint", mRequest.fingerprint());
-        }
-        line.with("cause", refuse.cause().logName())
-                .with("error", kind.wireName())
-                .with("promptTokens", mJob.prompt().promptTokens())
-                .with("waitedMillis", mContext.nowMillis() - mJob.submittedMillis())
-                .with("retryAfterMillis", refuse.retryAfterMillis())
-                .with("waiting", mPools.waitingCount())
-                .log();
+        mLog.refused(refuse, kind, mPools.waitingCount());
         endWithError(kind, OptionalLong.of(refuse.retryAfterMillis()));
     }
 
@@ -287,9 +254,9 @@
         if (mClosed) {
             return;
         }
-        withPlacement(logLine("request.caller-gone"))
+        mLog.placedLine("request.caller-gone")
                 .with("sent", mCall != null)
-                .with("tookMillis", elapsedMillis())
+                .with("tookMillis", mLog.elapsedMillis())
                 .log();
         cancelOrWithdraw();
         finishWithError(ErrorKind.CALLER_GONE);
@@ -316,11 +283,11 @@
                 sent || mAttempts.mayHaveRun()
                         ? ErrorKind.DEADLINE_AFTER_START
                         : ErrorKind.INSTANCE_QUEUE_FULL;
-        withPlacement(logLine("request.timed-out"))
+        mLog.placedLine("request.timed-out")
                 .with("endedBy", cause)
                 .with("error", kind.wireName())
                 .with("answering", mAttempts.isHeadRelayed())
-                .with("tookMillis", elapsedMillis())
+                .with("tookMillis", mLog.elapsedMillis())
                 .log();
         cancelOrWithdraw();
         endWithError(
@@ -386,17 +353,13 @@
 
     /** Logs a response that names another request than this one, or none. */
     void logCrossed(int status, ResponseHead head) {
-        withPlacement(logLine("response.crossed"))
-                .with("status", status)
-                .with("names", head.id().orElse(""))
-                .with("notRun", head.notRun())
-                .log();
+        mLog.crossed(status, head);
     }
 
     /** Records that the response head or an event was received. */
     void responseProgressed() {
         if (mFirstResponseMillis < 0) {
-            mFirstResponseMillis = elapsedMillis();
+            mFirstResponseMillis = mLog.elapsedMillis();
         }
         mPools.recordProgress(mJob, mTicket, mContext.nowMillis());
     }
@@ -418,9 +381,9 @@
     void responseCompleted() {
         releaseTicket(Optional.empty());
         recordAnswer();
-        withPlacement(logLine("request.whole"))
+        mLog.placedLine("request.whole")
                 .with("firstMillis", mFirstResponseMillis)
-                .with("tookMillis", elapsedMillis())
+                .with("tookMillis", mLog.elapsedMillis())
                 .log();
         mContext.counters().countCompleted();
         close();
@@ -431,7 +394,7 @@
         if (mTicket != null) {
             releaseTicket(Optional.empty());
         }
-        withPlacement(logLine("request.upstream-failure")).with("status", status).log();
+        mLog.placedLine("request.upstream-failure").with("status", status).log();
         mContext.counters().countFailed(ErrorKind.UPSTREAM_FAILED);
         close();
     }
@@ -439,23 +402,14 @@
     /** Ends an attempt that got no complete response and returns the next step. */
     RelayStep endAttempt(AttemptEnd end) {
         long nowMillis = mContext.nowMillis();
-        withPlacement(logLine("attempt.ended"))
-                .with("end", end)
-                .with("eventReceived", mEventReceived)
-                .with("parts", mRequest.prompt().describeParts())
-                .with("fingerprint", mRequest.fingerprint())
-                .with("tookMillis", elapsedMillis())
-                .log();
+        mLog.attemptEnded(end, mEventReceived);
         ListedUpstream upstream = mTicket.upstream();
         mLostUpstream = end.isUpstreamUnavailable() ? Set.of(upstream.id()) : Set.of();
         releaseTicket(Optional.of(end));
         if (end.isConnectionLost() && !mEventReceived) {
             mRelays.quarantineMonitor().lostUnanswered(mRequest, upstream);
             if (!mContext.quarantine().mayRetry(mRequest.content())) {
-                logLine("request.retry-withheld")
-                        .with("parts", mRequest.prompt().describeParts())
-                        .with("fingerprint", mRequest.fingerprint())
-                        .log();
+                mLog.retryWithheld();
                 return mAttempts.lastStep(end);
             }
         }
@@ -468,7 +422,7 @@
             mContext.counters().countRetry();
             submitToPool(mContext.nowMillis());
         } else if (step instanceof RelayStep.Resume resume) {
-            logLine("request.resumed").with("afterEvent", resume.afterEvent()).log();
+            mLog.line("request.resumed").with("afterEvent", resume.afterEvent()).log();
             mContext.counters().countResume();
             submitToPool(mContext.nowMillis());
         } else if (step instanceof RelayStep.Fail fail) {
@@ -490,9 +444,9 @@
 
     /** Logs and counts the failure; the caller of this method responds or aborts. */
     private void failRequest(ErrorKind kind) {
-        logLine("request.failed")
+        mLog.line("request.failed")
                 .with("error", kind.wireName())
-                .with("tookMillis", elapsedMillis())
+                .with("tookMillis", mLog.elapsedMillis())
                 .log();
         finishWithError(kind);
     }
@@ -524,23 +478,4 @@
         mCall = null;
         mPools.attemptEnded(mJob, ticket, end, mContext.nowMillis());
     }
-
-    private long elapsedMillis() {
-        return mContext.nowMillis() - mRequest.arrivedMillis();
-    }
-
-    private EventLog.Line logLine(String kind) {
-        EventLog.Line line = mContext.log().line(kind).with("request", mRequest.id());
-        mRequest.workspace().ifPresent(each -> line.with("workspace", each));
-        return line.with("route", mRequest.route().name())
-                .with("configVersion", mRequest.configVersion());
-    }
-
-    /** Adds the upstream and the cause of the last placement. */
-    private EventLog.Line withPlacement(EventLog.Line line) {
-        if (mPlacement == null) {
-            return line.with("placed", false);
-        }
-        return mPlacement.addTo(line);
-    }
 }
