--- a/magnoliapick-router/src/test/java/org/magnoliapick/router/WholePathTest.java
+++ b/magnoliapick-router/src/test/java/org/magnoliapick/router/WholePathTest.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.magnoliapick.standin.Fault;
 import org.magnoliapick.standin.FaultSwitches;
@@ -79,6 +80,8 @@
         }
     }
 
+    /** Known fault of the stop that follows: see KNOWN-RED.txt. */
+    @Tag("known-red")
     @Test
     void aPairingIsRefusedAsNotRunWhileTheLogIsOut() throws Exception {
         int ranBefore = mFleet.mService.total();
