Show that a deadly request crashes more workers than BUDGET allows

Crashes within 250 ms count as one, so a request whose retries follow each other at once crashes eight workers before it is refused, four of them later than contact_ms after the third.

--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -32,6 +32,7 @@
         return switch (name) {
             case "bodies" -> BodiesCase.run(trouble, folder);
             case "cut-answer" -> CutAnswerCase.run(trouble, folder);
+            case "poison" -> PoisonCase.run(trouble, folder);
             case "reborn" -> RebornCase.run(trouble, folder);
             default -> throw new IllegalArgumentException(name);
         };
