--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -31,6 +31,7 @@
     private static int play(String name, boolean trouble, Path folder) throws Exception {
         return switch (name) {
             case "bodies" -> BodiesCase.run(trouble, folder);
+            case "tenants" -> TenantsCase.run(trouble, folder);
             case "cut-answer" -> CutAnswerCase.run(trouble, folder);
             case "poison" -> PoisonCase.run(trouble, folder);
             case "reborn" -> RebornCase.run(trouble, folder);
