Tell a response that ended from one that was reset

Callers saw: a 200 with a content length of its own and the first half of the body, after the upstream had crashed in the middle of a response without a length. Cause: any end of the connection ended such a response. If a part of the request was still to be written, the failed write closed the channel before a read could report the reset. Change: connections to servers are half-closed at the end of input. Only that event ends a response without a length, and only if the rest of the request can be written. Conclusion: the kernel sends no orderly end after a reset, so the two are told apart whatever the order in which the event loop handles them.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -44,6 +45,13 @@
     private boolean mCrossed;
 
     private boolean mHeadReceived;
+
+    /** Whether the response states no length, so that the server's end of sending ends it. */
+    private boolean mEndsWithConnection;
+
+    /** Whether the response has ended, and is complete if the rest of the request is written. */
+    private boolean mAwaitingWrite;
+
     private boolean mReusable = true;
     private long mIdleLimitMillis = DEFAULT_IDLE_MILLIS;
     private long mIdleSinceMillis;
@@ -154,10 +162,16 @@
             return;
         }
         mHeadReceived = true;
+        mEndsWithConnection = endsWithConnection(head);
         mReusable = HttpUtil.isKeepAlive(head) && !mCrossed;
         parseKeepAlive(head);
     }
 
+    /** Returns whether a response states no length, so that it ends with its connection. */
+    public static boolean endsWithConnection(HttpResponse head) {
+        return !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
+    }
+
     private void parseKeepAlive(HttpResponse head) {
         String value = head.headers().get(HttpHeaderNames.KEEP_ALIVE.toString());
         if (value == null) {
@@ -196,16 +210,50 @@
     }
 
     private void onLast() {
-        ResponseListener listener = mListener;
-        if (mBroken || !mHeadReceived) {
+        boolean reset =
+                mBroken
+                        || (mEndsWithConnection
+                                && !mChannel.isActive()
+                                && !mDecoder.isInputEnded());
+        if (reset || !mHeadReceived) {
             fail(AttemptEnd.CUT);
-            return;
+        } else if (mEndsWithConnection && mDecoder.isInputEnded() && !mWriteFuture.isSuccess()) {
+            awaitWrite();
+        } else {
+            complete();
         }
+    }
+
+    /**
+     * Waits until the rest of the request is written: a server that still reads it has ended its
+     * response, and one that crashed resets the connection.
+     */
+    private void awaitWrite() {
+        mAwaitingWrite = true;
+        mWriteFuture.addListener(
+                write -> {
+                    if (mListener == null) {
+                        return;
+                    }
+                    if (write.isSuccess()) {
+                        complete();
+                    } else {
+                        fail(AttemptEnd.CUT);
+                    }
+                });
+    }
+
+    private void complete() {
+        ResponseListener listener = mListener;
         mListener = null;
         mDecoder.expectResponse(false);
         // The receiver may have paused reading although the rest of the response was read already.
         setReading(true);
-        boolean clean = mReusable && !mDecoder.hasUnreadBytes() && mWriteFuture.isSuccess();
+        boolean clean =
+                mReusable
+                        && !mDecoder.isInputEnded()
+                        && !mDecoder.hasUnreadBytes()
+                        && mWriteFuture.isSuccess();
         if (!clean || !mChannel.isActive()) {
             close();
         }
@@ -221,21 +269,26 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && !(mAwaitingWrite && mListener != null)) {
+            endOfConnection();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         mBroken = true;
-        if (mListener != null) {
-            fail(mHeadReceived ? AttemptEnd.CUT : AttemptEnd.LOST_BEFORE_HEAD);
-        } else {
-            close();
-        }
+        endOfConnection();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        mReusable = false;
-        if (mListener != null) {
-            fail(mHeadReceived ? AttemptEnd.CUT : AttemptEnd.LOST_BEFORE_HEAD);
-        }
+        endOfConnection();
+    }
+
+    /** Fails the request that has no complete response, and closes the connection. */
+    private void endOfConnection() {
+        fail(mHeadReceived ? AttemptEnd.CUT : AttemptEnd.LOST_BEFORE_HEAD);
     }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/Sockets.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/Sockets.java
@@ -62,13 +62,18 @@
         };
     }
 
-    /** Returns the options of client connections; keepalive probes detect unresponsive peers. */
+    /**
+     * Returns the options of client connections: keepalive probes detect unresponsive peers, and
+     * the end of what a server sends is told from a reset.
+     */
     static Map<ChannelOption<?>, Object> clientOptions() {
         return Map.of(
                 ChannelOption.TCP_NODELAY,
                 true,
                 ChannelOption.SO_KEEPALIVE,
                 true,
+                ChannelOption.ALLOW_HALF_CLOSURE,
+                true,
                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
                 KEEPALIVE_IDLE_SECONDS,
                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -313,8 +312,7 @@
     private boolean mayLackItsBody(boolean bodyReceived) {
         return !bodyReceived
                 && !mResponse.status().equals(HttpResponseStatus.NO_CONTENT)
-                && !HttpUtil.isTransferEncodingChunked(mResponse)
-                && !HttpUtil.isContentLengthSet(mResponse);
+                && HttpConnection.endsWithConnection(mResponse);
     }
 
     private void completeBuffered() {
