Count each upstream that the repetitions of a request crashed

Callers saw: one request crashed eight upstreams of a plain service, and what ran there was lost. Cause: crashes within 250 ms counted as one, since they may have a common cause. The attempts of one request and the repeat of its caller follow each other faster than that, so their four crashes were one and each later pair one more. Change: a fingerprint counts each upstream, a prompt part each time. Crashes at one time only lead to a quarantine of 10 s, ended by a single probe, as their cause may still be a common one. Conclusion: how many upstreams a request cost no longer depends on how fast its attempts follow.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Suspect.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/Suspect.java
@@ -20,7 +20,10 @@
      */
     private static final long CONFIRM_MILLIS = 2_000;
 
-    /** The duration of a quarantine, which doubles with each further crash, in milliseconds. */
+    /**
+     * The duration of a quarantine, which doubles with each further time of a crash, in
+     * milliseconds.
+     */
     private static final long BASE_MILLIS = 60_000;
 
     /** The maximum duration of a quarantine, in milliseconds. */
@@ -42,8 +45,8 @@
     private static final int MAX_SIGHTINGS = 8;
 
     /**
-     * The time within which several crashes count as one: upstreams that share a cause, such as a
-     * power failure, crash at the same time, whatever their requests hold.
+     * The time within which several crashes may have one cause, such as a power failure, whatever
+     * the requests hold.
      */
     private static final long COINCIDENCE_MILLIS = 250;
 
@@ -114,17 +117,25 @@
         return mSightings.stream().filter(each -> !each.refuted()).toList();
     }
 
-    /** Returns the number of crashes that are not refuted; simultaneous ones count as one. */
+    /**
+     * Returns the number of crashes that are not refuted. Simultaneous ones count as one, if they
+     * do so for suspects of this kind.
+     */
     int crashes() {
-        int crashes = 0;
+        return mKey.kind().countsSimultaneousOnce() ? crashTimes() : unrefuted().size();
+    }
+
+    /** Returns at how many different times crashes happened that are not refuted. */
+    private int crashTimes() {
+        int times = 0;
         long lastMillis = 0;
         for (Sighting each : unrefuted()) {
-            if (crashes == 0 || each.atMillis() - lastMillis > COINCIDENCE_MILLIS) {
-                crashes++;
+            if (times == 0 || each.atMillis() - lastMillis > COINCIDENCE_MILLIS) {
+                times++;
                 lastMillis = each.atMillis();
             }
         }
-        return crashes;
+        return times;
     }
 
     /** Returns the requests that were unanswered at the crashes that are not refuted. */
@@ -157,7 +168,12 @@
         if (!isPoison()) {
             return NEVER;
         }
-        int doublings = Math.min(10, crashes() - MIN_CRASHES);
+        int times = crashTimes();
+        if (times == 1) {
+            // A common cause is possible, and an answer to the next probe shows it.
+            return lastMillis() + PROBE_MILLIS;
+        }
+        int doublings = Math.max(0, Math.min(10, times - MIN_CRASHES));
         return lastMillis() + Math.min(MAX_MILLIS, BASE_MILLIS << doublings);
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectKey.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/quarantine/SuspectKey.java
@@ -21,20 +21,30 @@
     /** What requests may have in common. */
     public enum Kind {
         /** A prompt part that other prompts may share. A single request proves nothing of it. */
-        PART("prompt", "part", "prompt_parts", 2),
-        /** The whole content of a request, which its repetitions share. */
-        FINGERPRINT("fingerprint", "fingerprint", "fingerprints", 1);
+        PART("prompt", "part", "prompt_parts", 2, true),
+        /**
+         * The whole content of a request, which its repetitions share. They may follow each other
+         * at once, and each crash costs another upstream.
+         */
+        FINGERPRINT("fingerprint", "fingerprint", "fingerprints", 1, false);
 
         private final String mLogPrefix;
         private final String mFieldName;
         private final String mMetricName;
         private final int mMinRequests;
+        private final boolean mCountsSimultaneousOnce;
 
-        Kind(String logPrefix, String fieldName, String metricName, int minRequests) {
+        Kind(
+                String logPrefix,
+                String fieldName,
+                String metricName,
+                int minRequests,
+                boolean countsSimultaneousOnce) {
             mLogPrefix = logPrefix;
             mFieldName = fieldName;
             mMetricName = metricName;
             mMinRequests = minRequests;
+            mCountsSimultaneousOnce = countsSimultaneousOnce;
         }
 
         /** Returns the name of the field that has the identifier in log lines. */
@@ -55,6 +65,14 @@
         int minRequests() {
             return mMinRequests;
         }
+
+        /**
+         * Returns whether simultaneous crashes count as one: many sound requests share a part, so
+         * crashes that have a common cause would soon accuse it.
+         */
+        boolean countsSimultaneousOnce() {
+            return mCountsSimultaneousOnce;
+        }
     }
 
     /**
--- a/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/quarantine/PromptQuarantineTest.java
@@ -146,6 +146,30 @@
         assertThat(isRefused(3_000)).isFalse();
     }
 
+    /** Guards against attempts that follow each other at once and are taken for one crash. */
+    @Test
+    void quarantinesARequestThatCrashedSeveralUpstreamsAtOnce() {
+        for (int i = 0; i < 4; i++) {
+            crash("same", 1_000 + 30 * i);
+        }
+        assertThat(mQuarantine.find(content("same"), 3_000)).isPresent();
+        assertThat(isRefused(3_000)).isFalse();
+    }
+
+    /** Repetitions that run at once may be lost by a common cause of the crashes. */
+    @Test
+    void probesARequestSoonWhoseCrashesWereAtOneTimeOnly() {
+        for (int i = 0; i < 3; i++) {
+            crash("same", 1_000);
+        }
+        assertThat(mQuarantine.admit(content("same"), 10_999)).isPresent();
+        assertThat(mQuarantine.admit(content("same"), 11_000)).isEmpty();
+        assertThat(mQuarantine.admit(content("same"), 11_001)).isPresent();
+        crash("same", 11_050);
+        assertThat(mQuarantine.find(content("same"), 11_050).map(Quarantine::endMillis))
+                .contains(11_050 + MINUTE_MILLIS);
+    }
+
     /** Sound requests share these parts, or will. */
     @Test
     void servesThePartsOfARequestWhoseRepetitionsCrashUpstreams() {
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/PoisonRequestPathTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/PoisonRequestPathTest.java
@@ -213,4 +213,18 @@
         awaitLogged("\"kind\":\"fingerprint.quarantined\",\"service\":\"s\",\"fingerprint\":");
         awaitLogged("\"cause\":\"quarantined\"");
     }
+
+    /** Guards against attempts that follow each other at once and are taken for one crash. */
+    @Test
+    void refusesARequestWhoseCallerRepeatedItAtOnce() throws Exception {
+        send("/safe/x", "deadly-1", "", "deadly");
+        send("/safe/x", "deadly-2", "", "deadly");
+        mCrashed.forEach(each -> awaitLogged(each + "/"));
+        assertThat(mCrashed).hasSizeBetween(3, 4);
+        mClockLeadMillis.addAndGet(3_000);
+        assertThat(send("/safe/x", "deadly-3", "", "deadly"))
+                .startsWith("HTTP/1.1 503")
+                .contains("quarantined");
+        assertThat(send("/safe/x", "sound", "", "sound")).startsWith("HTTP/1.1 200");
+    }
 }
