Require keys while the configuration names workspaces, even none

Callers saw: once the last workspace had been removed, requests with any key or none ran. Cause: keys were required if there were workspaces, and a missing field and an empty list were the same.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/route/TrafficConfig.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/route/TrafficConfig.java
@@ -12,28 +12,29 @@
     private final RouteTable mRoutes;
     private final Map<String, ServiceSpec> mServices = new HashMap<>();
     private final Map<String, WorkspaceSpec> mWorkspacesByKey = new HashMap<>();
-    private final List<WorkspaceSpec> mWorkspaces;
+    private final Optional<List<WorkspaceSpec>> mWorkspaces;
     private final CallerLimits mLimits;
     private final OptionalLong mTokensPerSecond;
 
     /**
      * Creates a version of the configuration.
      *
-     * @param workspaces the workspaces; if empty, requests need no API key
+     * @param workspaces the workspaces, whose API keys requests need; empty if they need none. With
+     *     a list of no workspaces, no key is valid.
      * @param tokensPerSecond total throughput of all engines in tokens per second, if configured
      */
     public TrafficConfig(
             long version,
             List<Route> routes,
             List<ServiceSpec> services,
-            List<WorkspaceSpec> workspaces,
+            Optional<List<WorkspaceSpec>> workspaces,
             CallerLimits limits,
             OptionalLong tokensPerSecond) {
         mVersion = version;
         mRoutes = new RouteTable(routes);
         services.forEach(each -> mServices.put(each.name(), each));
-        mWorkspaces = List.copyOf(workspaces);
-        for (WorkspaceSpec workspace : workspaces) {
+        mWorkspaces = workspaces.map(List::copyOf);
+        for (WorkspaceSpec workspace : workspaces()) {
             workspace.keys().forEach(key -> mWorkspacesByKey.put(key, workspace));
         }
         mLimits = limits;
@@ -56,7 +57,7 @@
 
     /** Returns whether requests to routes that are not public must carry an API key. */
     public boolean requiresKeys() {
-        return !mWorkspaces.isEmpty();
+        return mWorkspaces.isPresent();
     }
 
     /** Returns the workspace that the API key belongs to. */
@@ -66,7 +67,7 @@
 
     /** Returns all workspaces in the order of the configuration. */
     public List<WorkspaceSpec> workspaces() {
-        return mWorkspaces;
+        return mWorkspaces.orElse(List.of());
     }
 
     /** Returns the limits on caller requests. */
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/ConfigDialect.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/ConfigDialect.java
@@ -20,8 +20,9 @@
 /**
  * A dialect for tests that reads the store. A configuration is a list of statements that end in a
  * semicolon: {@code version NUMBER}, {@code header MILLIS}, {@code idle MILLIS}, {@code service
- * NAME}, {@code key KEY WORKSPACE} and {@code route NAME KIND SERVICE TIMEOUT_MILLIS}. An upstream
- * is {@code SERVICE PORT STARTED_MILLIS}, followed by {@code leaving} if it is.
+ * NAME}, {@code keys} to require keys, {@code key KEY WORKSPACE} and {@code route NAME KIND SERVICE
+ * TIMEOUT_MILLIS}. An upstream is {@code SERVICE PORT STARTED_MILLIS}, followed by {@code leaving}
+ * if it is.
  */
 public class ConfigDialect extends FakeDialect {
     private static final long OBJECTIVE_MILLIS = 1_000;
@@ -48,6 +49,7 @@
         List<Route> routes = new ArrayList<>();
         List<ServiceSpec> services = new ArrayList<>();
         List<WorkspaceSpec> workspaces = new ArrayList<>();
+        boolean requiresKeys = false;
         for (String statement : new String(value, StandardCharsets.ISO_8859_1).split(";")) {
             String[] words = statement.trim().split(" ");
             switch (words[0]) {
@@ -55,6 +57,7 @@
                 case "header" -> headerMillis = Long.parseLong(words[1]);
                 case "idle" -> idleMillis = Long.parseLong(words[1]);
                 case "service" -> services.add(new ServiceSpec(words[1], 10, Optional.empty()));
+                case "keys" -> requiresKeys = true;
                 case "key" -> workspaces.add(workspace(words[2], words[1]));
                 case "route" -> routes.add(route(words));
                 default -> throw new IllegalArgumentException("unknown statement " + statement);
@@ -65,7 +68,9 @@
                         version,
                         routes,
                         services,
-                        workspaces,
+                        requiresKeys || !workspaces.isEmpty()
+                                ? Optional.of(workspaces)
+                                : Optional.empty(),
                         new CallerLimits(16_384, 65_536, headerMillis, idleMillis),
                         OptionalLong.empty()));
     }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
@@ -87,7 +87,7 @@
                                 route("unsafe", RouteKind.UNSAFE, false),
                                 route("stream", RouteKind.STREAM, true)),
                         List.of(new ServiceSpec("s", 10, Optional.empty())),
-                        List.of(),
+                        Optional.empty(),
                         new CallerLimits(16_384, 4_096, 1_000, 10_000),
                         OptionalLong.empty()));
     }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/RestoredStoreTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/RestoredStoreTest.java
@@ -54,7 +54,7 @@
                             version,
                             routes,
                             List.of(new ServiceSpec("s", 10, Optional.empty())),
-                            List.of(),
+                            Optional.empty(),
                             new CallerLimits(16_384, 4_096, 1_000, 10_000),
                             OptionalLong.empty()));
         }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/store/TopicHandlersTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/store/TopicHandlersTest.java
@@ -56,7 +56,7 @@
                             value[0],
                             List.of(),
                             List.of(),
-                            List.of(),
+                            Optional.empty(),
                             CallerLimits.INITIAL,
                             OptionalLong.empty()));
         }
