--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
@@ -74,8 +74,8 @@
                         new GatewaySettings.RetryBudget(
                                 nonNegative("retries.ratio"),
                                 nonNegative("retries.slack"),
-                                secondsAsMillis("retries.windowSeconds")),
-                        secondsAsMillis("sharing.windowSeconds"),
+                                windowMillis("retries.windowSeconds")),
+                        windowMillis("sharing.windowSeconds"),
                         secondsAsMillis("stop.graceSeconds"),
                         (int)
                                 Math.round(
@@ -126,7 +126,9 @@
 
     private double nonNegative(String path) {
         Object value = value(path);
-        if (value instanceof Number number && number.doubleValue() >= 0) {
+        if (value instanceof Number number
+                && number.doubleValue() >= 0
+                && Double.isFinite(number.doubleValue())) {
             return number.doubleValue();
         }
         throw new IllegalArgumentException(path + ": expected a number of 0 or more");
@@ -141,6 +143,15 @@
         return Math.round(nonNegative(path) * MILLI_PER_UNIT);
     }
 
+    /** Reads the length of a window, which limits nothing if it is 0. */
+    private long windowMillis(String path) {
+        long millis = secondsAsMillis(path);
+        if (millis == 0) {
+            throw new IllegalArgumentException(path + ": expected at least a millisecond");
+        }
+        return millis;
+    }
+
     private AddressPort address(String path) {
         return parseAddress(path, value(path));
     }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.magnoliapick.gateway.GatewaySettings;
@@ -70,6 +71,19 @@
                 .hasMessageContaining("callers.address: expected IP:PORT");
         assertThatThrownBy(() -> read(VALID.replace("0.2", "-1")))
                 .hasMessageContaining("retries.ratio: expected a number");
+        // Guards against a retry budget without a bound.
+        for (String unlimited : List.of(".inf", ".nan", "null")) {
+            assertThatThrownBy(() -> read(VALID.replace("0.2", unlimited)))
+                    .hasMessageContaining("retries.ratio");
+            assertThatThrownBy(() -> read(VALID.replace("54", unlimited)))
+                    .hasMessageContaining("retries.slack");
+        }
+        for (String window : List.of("0", ".inf", "1e-9")) {
+            assertThatThrownBy(() -> read(VALID.replace("10}", window + "}")))
+                    .hasMessageContaining("retries.windowSeconds: expected");
+            assertThatThrownBy(() -> read(VALID.replace("Seconds: 4", "Seconds: " + window)))
+                    .hasMessageContaining("sharing.windowSeconds: expected");
+        }
         assertThatThrownBy(() -> read("{[")).hasMessageContaining("is not YAML");
     }
 }
