Give a silent stream up only once another upstream has a place

Callers saw (by a test): a refusal, or a stream that ends in the middle, although the upstream was only silent for a moment and no other one had room. Cause: a stalled stream was cancelled as soon as an attempt and the retry budget were left, before the pool was asked for another place. Evidence: goesOnWithTheSilentUpstreamIfNoOtherHasRoom failed before, at a begun stream and at one without a head. Change: Failover asks the pool while the attempt goes on. A place at another upstream replaces it; a refusal or the same upstream is logged and asked again later; progress withdraws the search. Conclusion: a silence no longer ends an answer that nothing else can go on with.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -35,6 +35,7 @@
     private final RelayedStream mStream = new RelayedStream();
     private final RelayGuard mGuard;
     private final RelayLog mLog;
+    private final Failover mFailover;
     private RelayRequest mRequest;
     private RelayAttempts mAttempts;
     private int mRank;
@@ -51,6 +52,9 @@
     /** Whether the current attempt received a complete event. */
     private boolean mEventReceived;
 
+    /** Whether it was logged that the current attempt has stalled. */
+    private boolean mStallLogged;
+
     private boolean mClosed;
 
     Relay(
@@ -69,6 +73,7 @@
         mGuard = new RelayGuard(this, context.log(), requestHead.uri());
         mLog = new RelayLog(context);
         mConnections = new RelayConnections(pools, mGuard);
+        mFailover = new Failover(this, relays, pools);
     }
 
     /** Returns the guard in which all steps of this request run. */
@@ -143,22 +148,25 @@
             refuse(quarantine.get(), nowMillis);
             return;
         }
-        mJob =
-                PoolJob.of(
-                        mRequest,
-                        mContext.domain(),
-                        mAttempts.tried(),
-                        mLostUpstream,
-                        mAttempts.isHeadRelayed(),
-                        mRank,
-                        mRelays.nextQueryNumber(),
-                        sinceMillis);
+        mJob = newJob(mLostUpstream, sinceMillis);
         mTicket = null;
         mCall = null;
         mRelays.addPending(mJob, this);
         mPools.submit(mJob, nowMillis);
     }
 
+    private PoolJob newJob(Set<UpstreamId> unreachable, long sinceMillis) {
+        return PoolJob.of(
+                mRequest,
+                mContext.domain(),
+                mAttempts.tried(),
+                unreachable,
+                mAttempts.isHeadRelayed(),
+                mRank,
+                mRelays.nextQueryNumber(),
+                sinceMillis);
+    }
+
     private Optional<Quarantine> findQuarantine(long nowMillis) {
         return mContext.quarantine().find(mRequest.content(), nowMillis);
     }
@@ -189,8 +197,13 @@
 
     /** Starts an attempt at the upstream that the pool chose. */
     void startAttempt(PoolAction.Start start) {
+        if (mFailover.endsBy(start)) {
+            failOver(start, mContext.nowMillis());
+            return;
+        }
         mTicket = start.ticket();
         mEventReceived = false;
+        mStallLogged = false;
         long nowMillis = mContext.nowMillis();
         if (mRequest.isExpired(nowMillis)) {
             // The decision arrived after the request's deadline, as on a stalled machine.
@@ -226,8 +239,49 @@
         return mRelays.statements();
     }
 
+    /**
+     * Goes on at the upstream that was found for a stalled stream, unless that has no advantage any
+     * more.
+     */
+    private void failOver(PoolAction.Start start, long nowMillis) {
+        boolean stalled = mCall != null && mCall.isStalled(nowMillis);
+        boolean sameUpstream =
+                stalled && start.ticket().upstream().sameIncarnation(mTicket.upstream());
+        if (!stalled || sameUpstream || !mayRunAgain(nowMillis)) {
+            mFailover.release(start, nowMillis);
+            if (sameUpstream) {
+                failoverUnavailable("same-upstream", 0, nowMillis);
+            }
+            return;
+        }
+        mCall.replace();
+        RelayStep step = endAttempt(AttemptEnd.TIMEOUT);
+        if (countNextAttempt(step)) {
+            mJob = start.job();
+            startAttempt(start);
+        } else {
+            mFailover.release(start, nowMillis);
+            fail(step);
+        }
+    }
+
+    private void failoverUnavailable(String cause, long retryAfterMillis, long nowMillis) {
+        mFailover.failed(retryAfterMillis, nowMillis);
+        mLog.placedLine("failover.unavailable").with("reason", cause).log();
+    }
+
+    private boolean mayRunAgain(long nowMillis) {
+        return mAttempts.mayRunAgain(mContext.budget(), nowMillis)
+                && findQuarantine(nowMillis).isEmpty();
+    }
+
     /** Fails the request because the pool refused it. */
     void poolRefused(PoolAction.Refuse refuse) {
+        if (mFailover.endsBy(refuse)) {
+            failoverUnavailable(
+                    refuse.cause().logName(), refuse.retryAfterMillis(), mContext.nowMillis());
+            return;
+        }
         ErrorKind kind = mAttempts.reportableKind(refuse.cause().errorKind());
         mLog.refused(refuse, kind, mPools.waitingCount());
         endWithError(kind, OptionalLong.of(refuse.retryAfterMillis()));
@@ -311,9 +365,17 @@
         }
     }
 
+    /** Looks for another upstream if the stream has stalled and may be sent again. */
     void tick(long nowMillis) {
-        if (mCall != null) {
-            mCall.tick(nowMillis);
+        if (mCall == null || !mCall.isStalled(nowMillis)) {
+            return;
+        }
+        if (!mStallLogged) {
+            mStallLogged = true;
+            mLog.placedLine("attempt.stalled").with("eventReceived", mEventReceived).log();
+        }
+        if (mFailover.maySearch(nowMillis) && mayRunAgain(nowMillis)) {
+            mFailover.search(newJob(Set.of(mTicket.upstream().id()), nowMillis), nowMillis);
         }
     }
 
@@ -358,6 +420,7 @@
 
     /** Records that the response head or an event was received. */
     void responseProgressed() {
+        mFailover.withdraw();
         if (mFirstResponseMillis < 0) {
             mFirstResponseMillis = mLog.elapsedMillis();
         }
@@ -418,14 +481,29 @@
 
     /** Executes the step that follows an attempt. */
     void execute(RelayStep step) {
+        if (countNextAttempt(step)) {
+            submitToPool(mContext.nowMillis());
+        } else {
+            fail(step);
+        }
+    }
+
+    /** Counts and logs the attempt that a step asks for; returns false if it asks for none. */
+    private boolean countNextAttempt(RelayStep step) {
         if (step instanceof RelayStep.Retry) {
             mContext.counters().countRetry();
-            submitToPool(mContext.nowMillis());
-        } else if (step instanceof RelayStep.Resume resume) {
+            return true;
+        }
+        if (step instanceof RelayStep.Resume resume) {
             mLog.line("request.resumed").with("afterEvent", resume.afterEvent()).log();
             mContext.counters().countResume();
-            submitToPool(mContext.nowMillis());
-        } else if (step instanceof RelayStep.Fail fail) {
+            return true;
+        }
+        return false;
+    }
+
+    private void fail(RelayStep step) {
+        if (step instanceof RelayStep.Fail fail) {
             failRequest(fail.kind());
             mResponse.sendError(fail.kind(), retryAfterMillis(fail.kind()));
         } else if (step instanceof RelayStep.Abort abort) {
@@ -473,6 +551,7 @@
      *     reports a failure
      */
     private void releaseTicket(Optional<AttemptEnd> end) {
+        mFailover.withdraw();
         Ticket ticket = mTicket;
         mTicket = null;
         mCall = null;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -52,7 +52,6 @@
     private long mLastReceived;
 
     private StreamWatch mStallWatch;
-    private boolean mStallLogged;
 
     UpstreamCall(RelayContext context, RelayRequest request, Relay relay, ListedUpstream upstream) {
         mContext = context;
@@ -146,26 +145,16 @@
         }
     }
 
-    /**
-     * Ends the attempt with a timeout if its resumable stream has stalled and may be resumed. One
-     * that may not continues, because its upstream might.
-     */
-    void tick(long nowMillis) {
-        if (mEnded || !mSent || !mStallWatch.isStalled(nowMillis)) {
-            return;
-        }
-        if (mRelay.attempts().mayRunAgain(mContext.budget(), nowMillis)) {
-            mConnection.cancel();
-            onFailure(AttemptEnd.TIMEOUT);
-        } else if (!mStallLogged) {
-            mStallLogged = true;
-            mContext.log()
-                    .line("attempt.stalled")
-                    .with("request", mRequest.id())
-                    .with("upstream", mUpstream.id())
-                    .with("eventReceived", mEventReceived)
-                    .log();
-        }
+    /** Returns whether the attempt is in flight and its resumable stream has stalled. */
+    boolean isStalled(long nowMillis) {
+        return !mEnded && mSent && mStallWatch.isStalled(nowMillis);
+    }
+
+    /** Ends the attempt without a report to the relay, which goes on at another upstream. */
+    void replace() {
+        mEnded = true;
+        mConnection.cancel();
+        releaseBuffered();
     }
 
     @Override
