Bound what one faulty server's bytes cost all others

Callers saw (of a sound upstream): 70 to 600 answers in 12 s where 5,513 are due, and waits of up to 3.8 s, while another upstream sent header lines, responses 100, tiny chunks or an event without end. Cause: connections were read without a turn for others, the search for the end of an event took the square of its size, skipped responses and pieces were not counted, the next request followed at once, and large responses had no bound on their sum. Change: 16 KiB a turn for each connection; bounds on what is no response, whose excess ends the attempt as EXCESSIVE and delays the next request; the search goes on where it stopped; large responses share a quarter of the heap.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/request/AttemptEnd.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/request/AttemptEnd.java
@@ -17,6 +17,8 @@
     CROSSED(false, false, ErrorKind.ANSWER_BROKEN, AttemptOutcome.FAILED),
     /** The answer could not be parsed. */
     MALFORMED(false, false, ErrorKind.ANSWER_BROKEN, AttemptOutcome.FAILED),
+    /** The upstream sent more than any answer has, such as a head without end. */
+    EXCESSIVE(false, false, ErrorKind.ANSWER_BROKEN, AttemptOutcome.FAILED),
     /** The upstream started the request and reported an error. */
     FAILED(false, false, ErrorKind.UPSTREAM_FAILED, AttemptOutcome.FAILED),
     /** The upstream sent nothing within the timeout. */
@@ -46,9 +48,16 @@
         return mResumable;
     }
 
-    /** Returns whether the upstream was unreachable or did not accept the request. */
+    /**
+     * Returns whether the upstream was unreachable, did not accept the request, or costs more than
+     * others may pay for.
+     */
     public boolean isUpstreamUnavailable() {
-        return this == NOT_SENT || this == REFUSED || this == LOST_BEFORE_HEAD || this == TIMEOUT;
+        return this == NOT_SENT
+                || this == REFUSED
+                || this == LOST_BEFORE_HEAD
+                || this == EXCESSIVE
+                || this == TIMEOUT;
     }
 
     /** Returns whether the connection was lost after the request was sent. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/HttpConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -36,6 +37,7 @@
     private Channel mChannel;
     private ResponseListener mListener;
     private ChannelFuture mWriteFuture;
+    private ResponseBounds mBounds = new ResponseBounds();
     private boolean mBroken;
 
     /** Whether the response being read is skipped: informational, or not to this request. */
@@ -97,6 +99,7 @@
         mListener = listener;
         mHeadReceived = false;
         mSkipping = false;
+        mBounds = new ResponseBounds();
         mDecoder.expectResponse(true);
         mChannel.write(head);
         mWriteFuture = mChannel.writeAndFlush(new DefaultLastHttpContent(body));
@@ -148,17 +151,17 @@
 
     private void onHead(HttpResponse head) {
         if (head.decoderResult().isFailure()) {
-            fail(AttemptEnd.MALFORMED);
+            fail(endFor(head.decoderResult().cause()));
             return;
         }
         boolean informational = head.status().code() < 200;
         if (informational) {
-            mSkipping = true;
+            skip();
             return;
         }
         if (!mListener.onHead(head)) {
-            mSkipping = true;
             mCrossed = true;
+            skip();
             return;
         }
         mHeadReceived = true;
@@ -167,6 +170,20 @@
         parseKeepAlive(head);
     }
 
+    private void skip() {
+        mSkipping = true;
+        if (mBounds.skipResponse()) {
+            fail(AttemptEnd.EXCESSIVE);
+        }
+    }
+
+    private AttemptEnd endFor(Throwable cause) {
+        if (cause instanceof TooLongFrameException) {
+            return AttemptEnd.EXCESSIVE;
+        }
+        return mHeadReceived ? AttemptEnd.CUT : AttemptEnd.MALFORMED;
+    }
+
     /** Returns whether a response states no length, so that it ends with its connection. */
     public static boolean endsWithConnection(HttpResponse head) {
         return !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
@@ -193,15 +210,23 @@
 
     private void onContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            fail(mHeadReceived ? AttemptEnd.CUT : AttemptEnd.MALFORMED);
+            fail(endFor(content.decoderResult().cause()));
             return;
         }
         boolean last = content instanceof LastHttpContent;
+        int bytes = content.content().readableBytes();
         if (mSkipping) {
             mSkipping = !last;
+            if (mBounds.skipBytes(bytes)) {
+                fail(AttemptEnd.EXCESSIVE);
+            }
             return;
         }
-        if (content.content().isReadable()) {
+        if (bytes > 0) {
+            if (mBounds.addPiece(bytes)) {
+                fail(AttemptEnd.EXCESSIVE);
+                return;
+            }
             mListener.onContent(content.content());
         }
         if (last && mListener != null) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ResponseDecoder.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/ResponseDecoder.java
@@ -9,7 +9,7 @@
 /** Decodes responses and closes the connection on bytes that belong to no response. */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_INITIAL_LINE_BYTES = 4_096;
-    private static final int MAX_HEAD_BYTES = 65_536;
+    private static final int MAX_HEAD_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
     private boolean mExpecting;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/Sockets.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/http/Sockets.java
@@ -1,11 +1,13 @@
 package org.magnoliapick.gateway.internal.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -25,8 +27,19 @@
     private static final int KEEPALIVE_INTERVAL_SECONDS = 1;
     private static final int KEEPALIVE_PROBES = 2;
 
+    /** The maximum number of bytes that a connection reads until others have had their turn. */
+    private static final int READ_BYTES = 16_384;
+
+    private static final int INITIAL_READ_BYTES = 2_048;
+    private static final int MIN_READ_BYTES = 64;
+
     private Sockets() {}
 
+    private static RecvByteBufAllocator oneReadPerTurn() {
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, READ_BYTES)
+                .maxMessagesPerRead(1);
+    }
+
     /**
      * Binds an address; returns the port, which the system chooses if the address has port 0.
      *
@@ -45,6 +58,7 @@
                         .group(loop)
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.RCVBUF_ALLOCATOR, oneReadPerTurn())
                         .childHandler(initializer(handlers))
                         .bind(address.socketAddress())
                         .sync()
@@ -64,7 +78,8 @@
 
     /**
      * Returns the options of client connections: keepalive probes detect unresponsive peers, and
-     * the end of what a server sends is told from a reset.
+     * the end of what a server sends is told from a reset, and one server that sends much does not
+     * hold up the others.
      */
     static Map<ChannelOption<?>, Object> clientOptions() {
         return Map.of(
@@ -74,6 +89,8 @@
                 true,
                 ChannelOption.ALLOW_HALF_CLOSURE,
                 true,
+                ChannelOption.RCVBUF_ALLOCATOR,
+                oneReadPerTurn(),
                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
                 KEEPALIVE_IDLE_SECONDS,
                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/EventSplitter.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/EventSplitter.java
@@ -1,11 +1,11 @@
 package org.magnoliapick.gateway.internal.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import org.magnoliapick.gateway.internal.http.BufferBudget;
 
 /** Splits a byte stream of server-sent events into complete events. */
 final class EventSplitter {
@@ -15,18 +15,31 @@
     private static final byte LINE_END = '\n';
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
-    private ByteBuf mBuffer = Unpooled.buffer(256);
+    private final BufferBudget.Buffer mBuffer;
+    private boolean mTooLong;
+
+    /** Up to where the buffered part of an event was searched for its end. */
+    private int mScanned;
+
+    /** The start of the line that the search has reached. */
+    private int mLineStart;
+
+    EventSplitter(BufferBudget budget) {
+        mBuffer = budget.newBuffer();
+    }
 
     /**
      * Appends bytes and returns the events that they complete; the receiver releases each event.
      */
     List<Event> feed(ByteBuf bytes) {
-        mBuffer.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
         List<Event> events = new ArrayList<>(2);
-        int start = mBuffer.readerIndex();
-        if (isEventTooLong()) {
+        mTooLong |=
+                mBuffer.readableBytes() + bytes.readableBytes() > MAX_EVENT_BYTES
+                        || !mBuffer.append(bytes);
+        if (mTooLong) {
             return events;
         }
+        int start = mBuffer.readerIndex();
         int end = findEventEnd(start);
         while (end > 0) {
             ByteBuf event = mBuffer.copy(start, end - start);
@@ -36,12 +49,19 @@
         }
         mBuffer.readerIndex(start);
         mBuffer.discardReadBytes();
+        mScanned -= start;
+        mLineStart -= start;
         return events;
     }
 
-    /** Returns whether the buffered data exceeds {@link #MAX_EVENT_BYTES}. */
+    /** Returns whether an event exceeds {@link #MAX_EVENT_BYTES} or the budget. */
     boolean isEventTooLong() {
-        return mBuffer.readableBytes() > MAX_EVENT_BYTES;
+        return mTooLong;
+    }
+
+    /** Releases the buffer; nothing may be appended any more. */
+    void release() {
+        mBuffer.release();
     }
 
     /** Returns whether part of an event is buffered. */
@@ -49,19 +69,22 @@
         return mBuffer.isReadable();
     }
 
-    /** Returns the end index (exclusive) of the event starting at an index, or -1 if incomplete. */
+    /**
+     * Returns the end index (exclusive) of the event starting at an index, or -1 if incomplete. The
+     * next search goes on where this one ended.
+     */
     private int findEventEnd(int start) {
-        int lineStart = start;
-        for (int i = start; i < mBuffer.writerIndex(); i++) {
+        while (mScanned < mBuffer.writerIndex()) {
+            int i = mScanned++;
             if (mBuffer.getByte(i) != LINE_END) {
                 continue;
             }
             boolean blank =
-                    i == lineStart || (i == lineStart + 1 && mBuffer.getByte(i - 1) == '\r');
+                    i == mLineStart || (i == mLineStart + 1 && mBuffer.getByte(i - 1) == '\r');
+            mLineStart = i + 1;
             if (blank && i > start) {
                 return i + 1;
             }
-            lineStart = i + 1;
         }
         return -1;
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.magnoliapick.gateway.Dialect;
+import org.magnoliapick.gateway.internal.http.BufferBudget;
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.FailureDomain;
 import org.magnoliapick.limit.RateLimits;
@@ -14,12 +15,17 @@
 
 /** State shared by all relays of an instance. All methods run on the single event loop. */
 public final class RelayContext {
+    /** One of so many parts of the heap may hold large responses. */
+    private static final int RESPONSE_MEMORY_PARTS = 4;
+
     private final EventLoop mLoop;
     private final FailureDomain mDomain;
     private final LongSupplier mClockMillis;
     private final Dialect mDialect;
     private FleetRetryBudget mBudget;
     private final EventLog mLog;
+    private final BufferBudget mResponseBuffers =
+            new BufferBudget(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_PARTS);
     private final RelayCounters mCounters = new RelayCounters();
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final RateLimits mRateLimits = new RateLimits();
@@ -72,6 +78,11 @@
         return mPauses;
     }
 
+    /** Returns the memory for responses of upstreams. */
+    BufferBudget responseBuffers() {
+        return mResponseBuffers;
+    }
+
     /** Returns the request counters. */
     public RelayCounters counters() {
         return mCounters;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -1,7 +1,6 @@
 package org.magnoliapick.gateway.internal.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -13,6 +12,7 @@
 import java.util.Set;
 import org.magnoliapick.gateway.ForwardedHead;
 import org.magnoliapick.gateway.ResponseHead;
+import org.magnoliapick.gateway.internal.http.BufferBudget;
 import org.magnoliapick.gateway.internal.http.HopByHopHeaders;
 import org.magnoliapick.gateway.internal.http.HttpConnection;
 import org.magnoliapick.gateway.internal.http.ResponseListener;
@@ -41,7 +41,7 @@
     private long mSentMillis;
     private HttpResponse mResponse;
     private ResponseHead mParsedHead;
-    private ByteBuf mBuffered;
+    private BufferBudget.Buffer mBuffered;
     private EventSplitter mSplitter;
     private boolean mEventReceived;
 
@@ -135,7 +135,7 @@
         if (mConnection != null) {
             mConnection.cancel();
         }
-        releaseBuffered();
+        releaseBuffers();
     }
 
     /** Pauses or resumes reading from the upstream. */
@@ -154,7 +154,7 @@
     void replace() {
         mEnded = true;
         mConnection.cancel();
-        releaseBuffered();
+        releaseBuffers();
     }
 
     @Override
@@ -172,11 +172,11 @@
         boolean success = isSuccess(head.status()) && parsedHead.signed() && !parsedHead.notRun();
         boolean continues = !mResumed || mRelay.stream().isContinuedBy(head);
         if (mRequest.route().kind().streamed() && success && continues) {
-            mSplitter = new EventSplitter();
+            mSplitter = new EventSplitter(mContext.responseBuffers());
             mStallWatch.progressed(mContext.nowMillis());
         } else {
             mRelay.responseProgressed();
-            mBuffered = Unpooled.buffer(1_024);
+            mBuffered = mContext.responseBuffers().newBuffer();
         }
         return true;
     }
@@ -209,11 +209,10 @@
     public void onContent(ByteBuf chunk) {
         if (mSplitter != null) {
             relayEvents(chunk);
-        } else if (mBuffered.readableBytes() + chunk.readableBytes() > MAX_BUFFERED_BYTES) {
+        } else if (mBuffered.readableBytes() + chunk.readableBytes() > MAX_BUFFERED_BYTES
+                || !mBuffered.append(chunk)) {
             mConnection.cancel();
             onFailure(AttemptEnd.MALFORMED);
-        } else {
-            mBuffered.writeBytes(chunk);
         }
     }
 
@@ -234,7 +233,7 @@
         }
         if (!mEnded && mSplitter.isEventTooLong()) {
             mConnection.cancel();
-            onFailure(AttemptEnd.MALFORMED);
+            onFailure(AttemptEnd.EXCESSIVE);
         } else if (!mEnded && !mRelay.response().isWritable()) {
             mConnection.setReading(false);
         }
@@ -325,6 +324,7 @@
             endAttempt(AttemptEnd.MALFORMED);
             return;
         }
+        releaseBuffers();
         relayHead();
         mRelay.response().end();
         mRelay.responseCompleted();
@@ -351,12 +351,16 @@
             relayBuffered();
             mRelay.upstreamFailureRelayed(mResponse.status().code());
         } else {
-            releaseBuffered();
+            releaseBuffers();
             mRelay.execute(step);
         }
     }
 
-    private void releaseBuffered() {
+    private void releaseBuffers() {
+        if (mSplitter != null) {
+            mSplitter.release();
+            mSplitter = null;
+        }
         if (mBuffered != null) {
             mBuffered.release();
             mBuffered = null;
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/EventSplitterTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/EventSplitterTest.java
@@ -10,11 +10,17 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.magnoliapick.gateway.internal.http.BufferBudget;
 
 final class EventSplitterTest {
     private static final String STREAM =
             "id: 1\ndata: a\n\nversion: 3\nid: 2\ndata: b\n\ndata:c\n\n";
 
+    private static EventSplitter newSplitter() {
+        return new EventSplitter(new BufferBudget(4 << 20));
+    }
+
     private static List<String> feed(EventSplitter splitter, String text) {
         List<String> events = new ArrayList<>();
         for (EventSplitter.Event event :
@@ -26,18 +32,18 @@
 
     @Property(tries = 100, seed = "1")
     void splitsTheSameEventsForAnyChunkSize(@ForAll @IntRange(min = 1, max = 40) int size) {
-        EventSplitter splitter = new EventSplitter();
+        EventSplitter splitter = newSplitter();
         List<String> events = new ArrayList<>();
         for (int i = 0; i < STREAM.length(); i += size) {
             events.addAll(feed(splitter, STREAM.substring(i, Math.min(STREAM.length(), i + size))));
         }
-        assertThat(events).isEqualTo(feed(new EventSplitter(), STREAM)).hasSize(3);
+        assertThat(events).isEqualTo(feed(newSplitter(), STREAM)).hasSize(3);
         assertThat(splitter.hasPartialEvent()).isFalse();
     }
 
     @Test
     void parsesTheFirstIdFieldOnAnyLine() {
-        EventSplitter splitter = new EventSplitter();
+        EventSplitter splitter = newSplitter();
         assertThat(feed(splitter, "data: id: 9\nid:  12 \r\n\r\n")).hasSize(1);
         assertThat(feed(splitter, "data: id: 9\nid:  12 \r\n\r\n").get(0))
                 .startsWith("OptionalLong[12]");
@@ -45,9 +51,22 @@
         assertThat(feed(splitter, "data: a\n\n").get(0)).startsWith("OptionalLong.empty");
     }
 
+    /** Guards against the square of an event's size in steps, which holds up all other streams. */
+    @Test
+    @Timeout(20)
+    void readsALongEventInSmallPiecesOnce() {
+        EventSplitter splitter = newSplitter();
+        String piece = "data: 0123456789";
+        for (int bytes = 0; bytes < 1_000_000; bytes += piece.length()) {
+            assertThat(feed(splitter, piece)).isEmpty();
+        }
+        assertThat(feed(splitter, "\r\nid: 7\n\r\n")).hasSize(1);
+        assertThat(splitter.hasPartialEvent()).isFalse();
+    }
+
     @Test
     void reportsAPartialEvent() {
-        EventSplitter splitter = new EventSplitter();
+        EventSplitter splitter = newSplitter();
         assertThat(feed(splitter, "id: 1\ndata")).isEmpty();
         assertThat(splitter.hasPartialEvent()).isTrue();
     }
