Send no request late in a stop that may not be repeated

Callers could see: an order that waited for a place was sent on shortly before the end of the grace period, and got 504, which leaves open whether it ran. Cause: the plan of a stop bounded when requests are accepted, not when one that waited, was refused or lost its upstream is sent. Change: such a request needs half of the grace period; later it is refused, at once and truthfully as not run. Conclusion: each attempt that must not be cut has at least as long as the balancer takes to look away.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/relay/StopPlan.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/relay/StopPlan.java
@@ -1,5 +1,7 @@
 package org.magnoliapick.relay;
 
+import org.magnoliapick.route.Route;
+
 /**
  * The timing of a graceful shutdown. Requests that arrive before the load balancer has detected the
  * shutdown are served; later ones are refused, since their answers would not be complete in time.
@@ -36,6 +38,14 @@
         return nowMillis - mStoppedAtMillis < Math.min(ACCEPT_MILLIS, mGraceMillis / 2);
     }
 
+    /**
+     * Returns whether a request may be sent to an upstream, also one that waited since before. One
+     * that may not be repeated has to have half of the grace period left.
+     */
+    public boolean maySend(Route route, long nowMillis) {
+        return route.retryable() || nowMillis - mStoppedAtMillis < mGraceMillis / 2;
+    }
+
     /** Returns whether the remaining requests and connections have to be closed now. */
     public boolean mustClose(long nowMillis) {
         return nowMillis - mStoppedAtMillis >= mGraceMillis - CLOSE_MARGIN_MILLIS;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -143,6 +143,10 @@
      */
     private void submitToPool(long sinceMillis) {
         long nowMillis = mContext.nowMillis();
+        if (isTooLateToSend(nowMillis)) {
+            refuseForStop();
+            return;
+        }
         Optional<Quarantine> quarantine = findQuarantine(nowMillis);
         if (quarantine.isPresent()) {
             refuse(quarantine.get(), nowMillis);
@@ -171,6 +175,25 @@
         return mContext.quarantine().find(mRequest.content(), nowMillis);
     }
 
+    /** Returns whether a stop would end an attempt that begins now, with no repeat allowed. */
+    private boolean isTooLateToSend(long nowMillis) {
+        return !mRelays.maySend(mRequest.route(), nowMillis);
+    }
+
+    private void refuseForStop() {
+        ErrorKind kind = mAttempts.reportableKind(ErrorKind.NOT_READY);
+        mLog.line("request.refused")
+                .with("cause", "stopping")
+                .with("error", kind.wireName())
+                .with("attempts", mAttempts.sends())
+                .log();
+        endWithError(
+                kind,
+                kind.retryAfterMillis().isPresent()
+                        ? OptionalLong.of(Relays.NOT_READY_RETRY_AFTER_MILLIS)
+                        : OptionalLong.empty());
+    }
+
     private void refuse(Quarantine quarantine, long nowMillis) {
         ErrorKind kind = mAttempts.reportableKind(ErrorKind.QUARANTINED);
         long retryAfterMillis = Math.max(1, quarantine.endMillis() - nowMillis);
@@ -211,6 +234,11 @@
             endUnanswered("deadline");
             return;
         }
+        if (isTooLateToSend(nowMillis)) {
+            releaseTicket(Optional.of(AttemptEnd.CANCELLED));
+            refuseForStop();
+            return;
+        }
         Optional<Quarantine> quarantine = findQuarantine(nowMillis);
         if (quarantine.isPresent()) {
             releaseTicket(Optional.of(AttemptEnd.CANCELLED));
@@ -365,8 +393,17 @@
         }
     }
 
-    /** Looks for another upstream if the stream has stalled and may be sent again. */
+    /**
+     * Looks for another upstream if the stream has stalled and may be sent again. Refuses a waiting
+     * request that a stop leaves too little time.
+     */
     void tick(long nowMillis) {
+        boolean waiting = !mClosed && mJob != null && mTicket == null;
+        if (waiting && isTooLateToSend(nowMillis)) {
+            cancelOrWithdraw();
+            refuseForStop();
+            return;
+        }
         if (mCall == null || !mCall.isStalled(nowMillis)) {
             return;
         }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -31,7 +31,7 @@
      * Retry-after delay, in milliseconds, for requests rejected because this instance has no
      * configuration yet or is stopping.
      */
-    private static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
+    static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
 
     /**
      * Query numbers reserved per millisecond. Numbers follow the clock, so that those of a new
@@ -142,6 +142,11 @@
                 && (mStopPlan.isEmpty() || mStopPlan.get().acceptsRequests(mContext.nowMillis()));
     }
 
+    /** Returns whether a request of a route may be sent to an upstream now. */
+    boolean maySend(Route route, long nowMillis) {
+        return mStopPlan.isEmpty() || mStopPlan.get().maySend(route, nowMillis);
+    }
+
     private void routeRequest(
             Relay relay,
             HttpRequest head,
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/FaultBetweenStepsLosesAnswerTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/FaultBetweenStepsLosesAnswerTest.java
@@ -2,28 +2,22 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.Socket;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.gateway.FakeDialect;
 import org.magnoliapick.gateway.FakeServer;
 import org.magnoliapick.gateway.RunningGateway;
@@ -42,7 +36,7 @@
 final class FaultBetweenStepsLosesAnswerTest {
     private final NioEventLoopGroup mGroup = new NioEventLoopGroup(1);
     private final EventLoop mLoop = mGroup.next();
-    private final FakeResponse mResponse = new FakeResponse();
+    private final FakeCallerResponse mResponse = new FakeCallerResponse();
     private FakeServer mUpstream;
     private FakeDialect mDialect;
     private RelayContext mContext;
@@ -137,58 +131,6 @@
         mRelays.accept(head, Unpooled.buffer(), response, 1_000_000);
     }
 
-    /** Records how the response ended, and fails to write one if asked to. */
-    private static final class FakeResponse implements CallerResponse {
-        private final CompletableFuture<String> mEnd = new CompletableFuture<>();
-        private boolean mFailError;
-
-        /** Runs when a complete response is sent. */
-        private Runnable mOnComplete = () -> {};
-
-        @Override
-        public void sendComplete(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
-            body.release();
-            mOnComplete.run();
-            mEnd.complete("complete");
-        }
-
-        @Override
-        public void sendHead(HttpResponseStatus status, HttpHeaders headers) {}
-
-        @Override
-        public void sendChunk(ByteBuf chunk) {
-            chunk.release();
-        }
-
-        @Override
-        public void end() {
-            mEnd.complete("end");
-        }
-
-        @Override
-        public void sendError(ErrorKind kind, OptionalLong retryAfterMillis) {
-            if (mFailError) {
-                throw new IllegalStateException("response");
-            }
-            mEnd.complete("error " + kind);
-        }
-
-        @Override
-        public void abort() {
-            mEnd.complete("abort");
-        }
-
-        @Override
-        public void fail(ErrorKind kind) {
-            mEnd.complete("fail " + kind);
-        }
-
-        @Override
-        public boolean isWritable() {
-            return true;
-        }
-    }
-
     @Test
     void reportsThatARequestMayHaveRunIfTheEndOfItsAttemptFails() throws Exception {
         mLoop.submit(this::configure).get();
@@ -198,15 +140,15 @@
                             mFailFlush = true;
                         })
                 .get();
-        assertThat(mResponse.mEnd.get()).isEqualTo("fail INTERNAL_AFTER_START");
+        assertThat(mResponse.outcome().get()).isEqualTo("fail INTERNAL_AFTER_START");
     }
 
     @Test
     void endsARequestWhoseErrorResponseFails() throws Exception {
-        mResponse.mFailError = true;
+        mResponse.failError();
         // Without a configuration, the request is rejected.
         mLoop.submit(() -> accept("lost", mResponse)).get();
-        assertThat(mResponse.mEnd).isDone();
+        assertThat(mResponse.outcome()).isDone();
         assertThat(mRelays.inFlight()).isZero();
     }
 
@@ -219,7 +161,7 @@
                             accept("lost", mResponse);
                         })
                 .get();
-        assertThat(mResponse.mEnd.get()).isEqualTo("fail INTERNAL");
+        assertThat(mResponse.outcome().get()).isEqualTo("fail INTERNAL");
         assertThat(
                         mLoop.submit(
                                         () ->
@@ -235,19 +177,19 @@
     /** The connection is back in use when the fault ends the request that used it before. */
     @Test
     void keepsTheConnectionThatTheNextRequestUses() throws Exception {
-        FakeResponse next = new FakeResponse();
-        mResponse.mOnComplete =
+        FakeCallerResponse next = new FakeCallerResponse();
+        mResponse.onComplete(
                 () -> {
                     accept("2", next);
                     throw new IllegalStateException("response");
-                };
+                });
         mLoop.submit(
                         () -> {
                             configure();
                             accept("1", mResponse);
                         })
                 .get();
-        assertThat(next.mEnd.get()).isEqualTo("complete");
+        assertThat(next.outcome().get()).isEqualTo("complete");
         assertThat(mUpstream.connectionCount()).isEqualTo(1);
     }
 }
