--- a/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
+++ b/magnoliapick-pgm/src/main/java/org/magnoliapick/pgm/internal/LogsExplainCommand.java
@@ -33,7 +33,7 @@
 
     /** Reasons that several kinds of lines may name and that have a text of their own. */
     private static final Set<String> REASONS =
-            Set.of("quarantined", "rate-limited", "no-upstream", "paused");
+            Set.of("quarantined", "rate-limited", "no-upstream", "paused", "stopping");
 
     /** The ends of a request that have a cause to be told. */
     private static final Set<String> FAILED =
