Give each incarnation of an upstream a load of its own

Callers saw: a workspace was refused for good after its engines had restarted under their identifiers. Cause: the load of the former incarnation stayed counted, as its attempts ended at another one's load. An upstream that was removed and listed again had its attempts from before taken off a load that never counted them. Change: another incarnation gets a new load, and a load takes off only tickets that it counted.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
@@ -42,9 +42,14 @@
         upstreams.forEach(each -> byId.put(each.id(), each));
         mLoads.keySet().retainAll(byId.keySet());
         byId.forEach(
-                (id, upstream) ->
-                        mLoads.computeIfAbsent(id, each -> new UpstreamLoad(upstream, engine))
-                                .setUpstream(upstream));
+                (id, upstream) -> {
+                    UpstreamLoad known = mLoads.get(id);
+                    if (known != null && known.upstream().sameIncarnation(upstream)) {
+                        known.setUpstream(upstream);
+                    } else {
+                        mLoads.put(id, new UpstreamLoad(upstream, engine));
+                    }
+                });
         applyRateLimits(nowMillis);
     }
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PrefixCacheEstimate.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PrefixCacheEstimate.java
@@ -48,10 +48,4 @@
             leastRecent.remove();
         }
     }
-
-    /** Removes all parts, as after a restart of the engine. */
-    void clear() {
-        mTokensByPart.clear();
-        mTokens = 0;
-    }
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -1,10 +1,13 @@
 package org.magnoliapick.pool;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
@@ -62,7 +65,10 @@
     private final Optional<PrefixCacheEstimate> mCache;
     private final List<PendingGrant> mPendingGrants = new ArrayList<>();
     private ListedUpstream mUpstream;
-    private int mRunning;
+
+    /** The attempts that are counted; those from before the upstream was listed are not. */
+    private final Set<Ticket> mRunning = Collections.newSetFromMap(new IdentityHashMap<>());
+
     private long mPrefillTokens;
     private long mMemoryTokens;
     private double mTokensPerMilli = INITIAL_TOKENS_PER_MILLI;
@@ -84,10 +90,8 @@
         return mHealth;
     }
 
+    /** Sets what is listed of this incarnation of the upstream now. */
     void setUpstream(ListedUpstream upstream) {
-        if (!upstream.sameIncarnation(mUpstream)) {
-            mCache.ifPresent(PrefixCacheEstimate::clear);
-        }
         mUpstream = upstream;
     }
 
@@ -115,14 +119,14 @@
 
     void addStarted(Ticket ticket, List<PromptPart> parts) {
         mTotals = Optional.empty();
-        mRunning++;
+        mRunning.add(ticket);
         mPrefillTokens += ticket.newTokens();
         mMemoryTokens += ticket.memoryTokens();
         mCache.ifPresent(cache -> cache.add(parts));
     }
 
     void recordFirstEvent(Ticket ticket, long nowMillis) {
-        if (!ticket.isPrefilling()) {
+        if (!ticket.isPrefilling() || !mRunning.contains(ticket)) {
             return;
         }
         ticket.finishPrefill();
@@ -140,8 +144,10 @@
     }
 
     void removeEnded(Ticket ticket) {
+        if (!mRunning.remove(ticket)) {
+            return;
+        }
         mTotals = Optional.empty();
-        mRunning--;
         mMemoryTokens -= ticket.memoryTokens();
         if (ticket.isPrefilling()) {
             ticket.finishPrefill();
@@ -225,7 +231,7 @@
     }
 
     private Totals computeTotals(long nowMillis) {
-        int running = mRunning;
+        int running = mRunning.size();
         long prefillTokens = mPrefillTokens;
         long memoryTokens = mMemoryTokens;
         mPendingGrants.removeIf(
@@ -278,12 +284,12 @@
     }
 
     Optional<UpstreamUse> ownUse() {
-        return mRunning == 0 && mRate.ownStarts() == 0
+        return mRunning.isEmpty() && mRate.ownStarts() == 0
                 ? Optional.empty()
                 : Optional.of(
                         new UpstreamUse(
                                 mUpstream.id(),
-                                mRunning,
+                                mRunning.size(),
                                 mPrefillTokens,
                                 mMemoryTokens,
                                 mSpeedMeasured ? (int) Math.round(mTokensPerMilli) : 0,
@@ -292,7 +298,7 @@
 
     /** Returns the use of this instance and of all those that report each change to it. */
     Optional<UpstreamUse> aggregateUse(long nowMillis) {
-        int running = mRunning + mPendingGrants.size();
+        int running = mRunning.size() + mPendingGrants.size();
         long prefillTokens = mPrefillTokens;
         long memoryTokens = mMemoryTokens;
         for (PendingGrant each : mPendingGrants) {
