--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Failover.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Failover.java
@@ -1,6 +1,7 @@
 package org.magnoliapick.gateway.internal.relay;
 
 import java.util.Optional;
+import org.magnoliapick.pool.ListedUpstream;
 import org.magnoliapick.pool.PoolAction;
 import org.magnoliapick.pool.PoolJob;
 import org.magnoliapick.request.AttemptEnd;
@@ -14,17 +15,35 @@
     private static final long MIN_RETRY_MILLIS = 500;
 
     private final Relay mRelay;
+    private final RelayLog mLog;
     private final Relays mRelays;
     private final Pools mPools;
     private Optional<PoolJob> mJob = Optional.empty();
     private long mNextSearchMillis = Long.MIN_VALUE;
 
-    Failover(Relay relay, Relays relays, Pools pools) {
+    /** Whether it was logged that the current attempt has stalled. */
+    private boolean mStallLogged;
+
+    Failover(Relay relay, RelayLog log, Relays relays, Pools pools) {
         mRelay = relay;
+        mLog = log;
         mRelays = relays;
         mPools = pools;
     }
 
+    /** Records that an attempt starts, which has not stalled. */
+    void attemptStarted() {
+        mStallLogged = false;
+    }
+
+    /** Logs once for each attempt that it has stalled. */
+    void logStall(boolean eventReceived) {
+        if (!mStallLogged) {
+            mStallLogged = true;
+            mLog.placedLine("attempt.stalled").with("eventReceived", eventReceived).log();
+        }
+    }
+
     /** Returns whether no search is running and the last one was long enough ago. */
     boolean maySearch(long nowMillis) {
         return mJob.isEmpty() && nowMillis >= mNextSearchMillis;
@@ -46,9 +65,28 @@
         return ends;
     }
 
-    /** Records that the search found no place. */
-    void failed(long retryAfterMillis, long nowMillis) {
+    /** Goes on at the upstream that was found, unless that has no advantage any more. */
+    void found(PoolAction.Start start, long nowMillis) {
+        Optional<ListedUpstream> stalled = mRelay.stalledUpstream(nowMillis);
+        boolean same = stalled.filter(start.ticket().upstream()::sameIncarnation).isPresent();
+        if (stalled.isPresent() && !same && mRelay.mayRunAgain(nowMillis)) {
+            mRelay.replaceAttempt(start);
+            return;
+        }
+        release(start, nowMillis);
+        if (same) {
+            unavailable("same-upstream", 0, nowMillis);
+        }
+    }
+
+    /** Records that the pool has no place now. */
+    void refused(PoolAction.Refuse refuse, long nowMillis) {
+        unavailable(refuse.cause().logName(), refuse.retryAfterMillis(), nowMillis);
+    }
+
+    private void unavailable(String reason, long retryAfterMillis, long nowMillis) {
         mNextSearchMillis = nowMillis + Math.max(MIN_RETRY_MILLIS, retryAfterMillis);
+        mLog.placedLine("failover.unavailable").with("reason", reason).log();
     }
 
     /** Gives a place back that is not used. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -36,6 +36,7 @@
     private final RelayGuard mGuard;
     private final RelayLog mLog;
     private final Failover mFailover;
+    private final RelayFailures mFailures;
     private RelayRequest mRequest;
     private RelayAttempts mAttempts;
     private int mRank;
@@ -52,9 +53,6 @@
     /** Whether the current attempt received a complete event. */
     private boolean mEventReceived;
 
-    /** Whether it was logged that the current attempt has stalled. */
-    private boolean mStallLogged;
-
     private boolean mClosed;
 
     Relay(
@@ -73,7 +71,8 @@
         mGuard = new RelayGuard(this, context.log(), requestHead.uri());
         mLog = new RelayLog(context);
         mConnections = new RelayConnections(pools, mGuard);
-        mFailover = new Failover(this, relays, pools);
+        mFailover = new Failover(this, mLog, relays, pools);
+        mFailures = new RelayFailures(context, mLog, response, this::close);
     }
 
     /** Returns the guard in which all steps of this request run. */
@@ -108,16 +107,14 @@
             cancelOrWithdraw();
         } finally {
             if (!mClosed) {
-                finishWithError(kind);
+                mFailures.finish(kind);
             }
         }
     }
 
     /** Rejects the request before it is submitted to a pool. */
     void reject(ErrorKind kind, OptionalLong retryAfterMillis) {
-        mLog.rejected(mRequestHead.uri(), kind);
-        finishWithError(kind);
-        mResponse.sendError(kind, retryAfterMillis);
+        mFailures.reject(mRequestHead.uri(), kind, retryAfterMillis);
     }
 
     /** Starts the timeout and submits the request to its pool. */
@@ -126,6 +123,7 @@
         mLog.setRequest(request);
         mRank = rank;
         mAttempts = new RelayAttempts(request);
+        mFailures.setRequest(request, mAttempts);
         long remainingMillis = request.effectiveDeadlineMillis() - mContext.nowMillis();
         mTimer =
                 mContext.loop()
@@ -144,12 +142,12 @@
     private void submitToPool(long sinceMillis) {
         long nowMillis = mContext.nowMillis();
         if (isTooLateToSend(nowMillis)) {
-            refuseForStop();
+            mFailures.refuseForStop();
             return;
         }
         Optional<Quarantine> quarantine = findQuarantine(nowMillis);
         if (quarantine.isPresent()) {
-            refuse(quarantine.get(), nowMillis);
+            mFailures.refuse(quarantine.get(), nowMillis);
             return;
         }
         mJob = newJob(mLostUpstream, sinceMillis);
@@ -180,31 +178,6 @@
         return !mRelays.maySend(mRequest.route(), nowMillis);
     }
 
-    private void refuseForStop() {
-        ErrorKind kind = mAttempts.reportableKind(ErrorKind.NOT_READY);
-        mLog.line("request.refused")
-                .with("cause", "stopping")
-                .with("error", kind.wireName())
-                .with("attempts", mAttempts.sends())
-                .log();
-        endWithError(
-                kind,
-                kind.retryAfterMillis().isPresent()
-                        ? OptionalLong.of(Relays.NOT_READY_RETRY_AFTER_MILLIS)
-                        : OptionalLong.empty());
-    }
-
-    private void refuse(Quarantine quarantine, long nowMillis) {
-        ErrorKind kind = mAttempts.reportableKind(ErrorKind.QUARANTINED);
-        long retryAfterMillis = Math.max(1, quarantine.endMillis() - nowMillis);
-        mLog.quarantined(quarantine, kind, mAttempts.sends(), retryAfterMillis);
-        endWithError(
-                kind,
-                kind.retryAfterMillis().isPresent()
-                        ? OptionalLong.of(retryAfterMillis)
-                        : OptionalLong.empty());
-    }
-
     /** Ends the request if it is quarantined and its upstream has not begun to answer it. */
     void cancelIfQuarantined(long nowMillis) {
         if (mClosed || mCall == null || mEventReceived) {
@@ -214,19 +187,19 @@
                 .ifPresent(
                         quarantine -> {
                             cancelOrWithdraw();
-                            refuse(quarantine, nowMillis);
+                            mFailures.refuse(quarantine, nowMillis);
                         });
     }
 
     /** Starts an attempt at the upstream that the pool chose. */
     void startAttempt(PoolAction.Start start) {
         if (mFailover.endsBy(start)) {
-            failOver(start, mContext.nowMillis());
+            mFailover.found(start, mContext.nowMillis());
             return;
         }
         mTicket = start.ticket();
         mEventReceived = false;
-        mStallLogged = false;
+        mFailover.attemptStarted();
         long nowMillis = mContext.nowMillis();
         if (mRequest.isExpired(nowMillis)) {
             // The decision arrived after the request's deadline, as on a stalled machine.
@@ -236,13 +209,13 @@
         }
         if (isTooLateToSend(nowMillis)) {
             releaseTicket(Optional.of(AttemptEnd.CANCELLED));
-            refuseForStop();
+            mFailures.refuseForStop();
             return;
         }
         Optional<Quarantine> quarantine = findQuarantine(nowMillis);
         if (quarantine.isPresent()) {
             releaseTicket(Optional.of(AttemptEnd.CANCELLED));
-            refuse(quarantine.get(), nowMillis);
+            mFailures.refuse(quarantine.get(), nowMillis);
             return;
         }
         mLog.placed(start, nowMillis - mJob.submittedMillis(), mAttempts.sends());
@@ -267,38 +240,28 @@
         return mRelays.statements();
     }
 
-    /**
-     * Goes on at the upstream that was found for a stalled stream, unless that has no advantage any
-     * more.
-     */
-    private void failOver(PoolAction.Start start, long nowMillis) {
-        boolean stalled = mCall != null && mCall.isStalled(nowMillis);
-        boolean sameUpstream =
-                stalled && start.ticket().upstream().sameIncarnation(mTicket.upstream());
-        if (!stalled || sameUpstream || !mayRunAgain(nowMillis)) {
-            mFailover.release(start, nowMillis);
-            if (sameUpstream) {
-                failoverUnavailable("same-upstream", 0, nowMillis);
-            }
-            return;
-        }
+    /** Returns the upstream of the attempt in flight if its stream has stalled. */
+    Optional<ListedUpstream> stalledUpstream(long nowMillis) {
+        return mCall != null && mCall.isStalled(nowMillis)
+                ? Optional.of(mTicket.upstream())
+                : Optional.empty();
+    }
+
+    /** Ends the attempt in flight and goes on at another upstream, or fails if that may not be. */
+    void replaceAttempt(PoolAction.Start start) {
         mCall.replace();
         RelayStep step = endAttempt(AttemptEnd.TIMEOUT);
         if (countNextAttempt(step)) {
             mJob = start.job();
             startAttempt(start);
         } else {
-            mFailover.release(start, nowMillis);
-            fail(step);
+            mFailover.release(start, mContext.nowMillis());
+            mFailures.fail(step);
         }
     }
 
-    private void failoverUnavailable(String cause, long retryAfterMillis, long nowMillis) {
-        mFailover.failed(retryAfterMillis, nowMillis);
-        mLog.placedLine("failover.unavailable").with("reason", cause).log();
-    }
-
-    private boolean mayRunAgain(long nowMillis) {
+    /** Returns whether the request may be sent again if the attempt in flight is given up. */
+    boolean mayRunAgain(long nowMillis) {
         return mAttempts.mayRunAgain(mContext.budget(), nowMillis)
                 && findQuarantine(nowMillis).isEmpty();
     }
@@ -306,25 +269,10 @@
     /** Fails the request because the pool refused it. */
     void poolRefused(PoolAction.Refuse refuse) {
         if (mFailover.endsBy(refuse)) {
-            failoverUnavailable(
-                    refuse.cause().logName(), refuse.retryAfterMillis(), mContext.nowMillis());
+            mFailover.refused(refuse, mContext.nowMillis());
             return;
         }
-        ErrorKind kind = mAttempts.reportableKind(refuse.cause().errorKind());
-        mLog.refused(refuse, kind, mPools.waitingCount());
-        endWithError(kind, OptionalLong.of(refuse.retryAfterMillis()));
-    }
-
-    /**
-     * Ends the request with an error response, or by closing the connection if the head was sent.
-     */
-    private void endWithError(ErrorKind kind, OptionalLong retryAfterMillis) {
-        finishWithError(kind);
-        if (mAttempts.isHeadRelayed()) {
-            mResponse.abort();
-        } else {
-            mResponse.sendError(kind, retryAfterMillis);
-        }
+        mFailures.refuse(refuse, mPools.waitingCount());
     }
 
     /** Cancels the request because the caller closed its connection. */
@@ -336,12 +284,9 @@
         if (mClosed) {
             return;
         }
-        mLog.placedLine("request.caller-gone")
-                .with("sent", mCall != null)
-                .with("tookMillis", mLog.elapsedMillis())
-                .log();
+        mLog.callerGone(mCall != null);
         cancelOrWithdraw();
-        finishWithError(ErrorKind.CALLER_GONE);
+        mFailures.finish(ErrorKind.CALLER_GONE);
     }
 
     /** Pauses or resumes reading from the upstream when the caller's writability changed. */
@@ -365,14 +310,9 @@
                 sent || mAttempts.mayHaveRun()
                         ? ErrorKind.DEADLINE_AFTER_START
                         : ErrorKind.INSTANCE_QUEUE_FULL;
-        mLog.placedLine("request.timed-out")
-                .with("endedBy", cause)
-                .with("error", kind.wireName())
-                .with("answering", mAttempts.isHeadRelayed())
-                .with("tookMillis", mLog.elapsedMillis())
-                .log();
+        mLog.timedOut(cause, kind, mAttempts.isHeadRelayed());
         cancelOrWithdraw();
-        endWithError(
+        mFailures.end(
                 kind,
                 sent ? OptionalLong.empty() : OptionalLong.of(mRequest.route().objectiveMillis()));
     }
@@ -401,16 +341,13 @@
         boolean waiting = !mClosed && mJob != null && mTicket == null;
         if (waiting && isTooLateToSend(nowMillis)) {
             cancelOrWithdraw();
-            refuseForStop();
+            mFailures.refuseForStop();
             return;
         }
         if (mCall == null || !mCall.isStalled(nowMillis)) {
             return;
         }
-        if (!mStallLogged) {
-            mStallLogged = true;
-            mLog.placedLine("attempt.stalled").with("eventReceived", mEventReceived).log();
-        }
+        mFailover.logStall(mEventReceived);
         if (mFailover.maySearch(nowMillis) && mayRunAgain(nowMillis)) {
             mFailover.search(newJob(Set.of(mTicket.upstream().id()), nowMillis), nowMillis);
         }
@@ -481,10 +418,7 @@
     void responseCompleted() {
         releaseTicket(Optional.empty());
         recordAnswer();
-        mLog.placedLine("request.whole")
-                .with("firstMillis", mFirstResponseMillis)
-                .with("tookMillis", mLog.elapsedMillis())
-                .log();
+        mLog.whole(mFirstResponseMillis);
         mContext.counters().countCompleted();
         close();
     }
@@ -521,7 +455,7 @@
         if (countNextAttempt(step)) {
             submitToPool(mContext.nowMillis());
         } else {
-            fail(step);
+            mFailures.fail(step);
         }
     }
 
@@ -539,38 +473,6 @@
         return false;
     }
 
-    private void fail(RelayStep step) {
-        if (step instanceof RelayStep.Fail fail) {
-            failRequest(fail.kind());
-            mResponse.sendError(fail.kind(), retryAfterMillis(fail.kind()));
-        } else if (step instanceof RelayStep.Abort abort) {
-            failRequest(abort.kind());
-            mResponse.abort();
-        } else {
-            throw new IllegalStateException("cannot execute unknown relay step " + step);
-        }
-    }
-
-    private OptionalLong retryAfterMillis(ErrorKind kind) {
-        return kind.retryAfterMillis().isPresent()
-                ? OptionalLong.of(mRequest.route().objectiveMillis())
-                : OptionalLong.empty();
-    }
-
-    /** Logs and counts the failure; the caller of this method responds or aborts. */
-    private void failRequest(ErrorKind kind) {
-        mLog.line("request.failed")
-                .with("error", kind.wireName())
-                .with("tookMillis", mLog.elapsedMillis())
-                .log();
-        finishWithError(kind);
-    }
-
-    private void finishWithError(ErrorKind kind) {
-        mContext.counters().countFailed(kind);
-        close();
-    }
-
     private void close() {
         mClosed = true;
         mCall = null;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayLog.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayLog.java
@@ -120,6 +120,45 @@
                 .log();
     }
 
+    /**
+     * Logs that the caller closed its connection.
+     *
+     * @param sent whether an attempt was in flight
+     */
+    void callerGone(boolean sent) {
+        placedLine("request.caller-gone")
+                .with("sent", sent)
+                .with("tookMillis", elapsedMillis())
+                .log();
+    }
+
+    /**
+     * Logs that the request ended without an answer of an upstream.
+     *
+     * @param endedBy what ended it
+     * @param answering whether the caller had received a part of the answer
+     */
+    void timedOut(String endedBy, ErrorKind kind, boolean answering) {
+        placedLine("request.timed-out")
+                .with("endedBy", endedBy)
+                .with("error", kind.wireName())
+                .with("answering", answering)
+                .with("tookMillis", elapsedMillis())
+                .log();
+    }
+
+    /**
+     * Logs that the complete response was relayed.
+     *
+     * @param firstMillis when the response began, from the arrival of the request
+     */
+    void whole(long firstMillis) {
+        placedLine("request.whole")
+                .with("firstMillis", firstMillis)
+                .with("tookMillis", elapsedMillis())
+                .log();
+    }
+
     /** Logs that the request is not sent again, because it may have crashed its upstream. */
     void retryWithheld() {
         addContent(line("request.retry-withheld")).log();
