--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
@@ -33,6 +33,19 @@
         return new ListedUpstream(new UpstreamId(name), "s", "10.0.0.1:80", DOMAIN, 10, false, 1);
     }
 
+    /** Returns an incarnation of an upstream. */
+    static ListedUpstream incarnation(String name, long startedMillis) {
+        ListedUpstream upstream = upstream(name);
+        return new ListedUpstream(
+                upstream.id(),
+                upstream.service(),
+                upstream.address(),
+                upstream.domain(),
+                upstream.slots(),
+                false,
+                startedMillis);
+    }
+
     static PoolScheduler scheduler(String... upstreams) {
         return scheduler(new RateLimits(), upstreams);
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/LeavingUpstreamsTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/LeavingUpstreamsTest.java
@@ -10,15 +10,7 @@
     private final LeavingUpstreams mOther = new LeavingUpstreams();
 
     private static ListedUpstream upstream(long startedMillis) {
-        ListedUpstream upstream = Jobs.upstream("u");
-        return new ListedUpstream(
-                upstream.id(),
-                upstream.service(),
-                upstream.address(),
-                upstream.domain(),
-                upstream.slots(),
-                false,
-                startedMillis);
+        return Jobs.incarnation("u", startedMillis);
     }
 
     private LeavingUpdate update(long seenMillis) {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/RestartedUpstreamLoadTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/RestartedUpstreamLoadTest.java
@@ -14,18 +14,6 @@
 
     private final PoolScheduler mScheduler = Jobs.scheduler(new RateLimits(), "u");
 
-    private static ListedUpstream incarnation(long startedMillis) {
-        ListedUpstream upstream = Jobs.upstream("u");
-        return new ListedUpstream(
-                upstream.id(),
-                upstream.service(),
-                upstream.address(),
-                upstream.domain(),
-                upstream.slots(),
-                false,
-                startedMillis);
-    }
-
     private void list(ListedUpstream... upstreams) {
         mScheduler.setUpstreams(List.of(upstreams), NOW_MILLIS);
     }
@@ -46,9 +34,9 @@
 
     @Test
     void forgetsTheLoadOfTheFormerIncarnation() {
-        list(incarnation(1));
+        list(Jobs.incarnation("u", 1));
         final Ticket former = start(1);
-        list(incarnation(2));
+        list(Jobs.incarnation("u", 2));
         assertThat(uses()).isEmpty();
         final Ticket current = start(2);
         mScheduler.endAttempt(former, Optional.of(AttemptEnd.CUT), NOW_MILLIS);
@@ -60,10 +48,10 @@
     /** The upstream was missing from the list while its attempts went on. */
     @Test
     void doesNotTakeOffWhatItDidNotCount() {
-        list(incarnation(1));
+        list(Jobs.incarnation("u", 1));
         final Ticket before = start(1);
         list();
-        list(incarnation(1));
+        list(Jobs.incarnation("u", 1));
         mScheduler.recordEvent(before, NOW_MILLIS);
         mScheduler.endAttempt(before, Optional.empty(), NOW_MILLIS);
         assertThat(uses()).isEmpty();
