Keep the first request in the queue that the stalled stream's test counts

Cause: NoRoomForStalledStreamTest took the request out of the queue and put another entry in, while the script of the upstream tells the first request by the size of that queue. If the script looked in between, it answered 503 and the test waited for a stall until its timeout. Change: the test waits until the queue holds the request and leaves it there. The checks are the same. With a pause of 100 ms between the two steps and one of 30 ms in the script it fails each time, in the same case; without the steps it passes with the pause in the script.

--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/NoRoomForStalledStreamTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/NoRoomForStalledStreamTest.java
@@ -83,8 +83,11 @@
         if (id.equals("begun")) {
             readUntil(socket, received, "id: 1\n");
         } else {
-            assertThat(mSilent.requests().take()).contains(id);
-            mSilent.requests().add("counted");
+            // The request stays in the queue, by whose size the script knows the first one.
+            while (mSilent.requests().isEmpty()) {
+                Thread.onSpinWait();
+            }
+            assertThat(mSilent.requests().peek()).contains(id);
         }
         mGateway.advanceClock(STALL_MILLIS);
         mGateway.awaitLogged("attempt.stalled");
