--- a/magnoliapick-core/src/main/java/org/magnoliapick/route/TrafficConfig.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/route/TrafficConfig.java
@@ -1,6 +1,7 @@
 package org.magnoliapick.route;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,7 +11,7 @@
 public final class TrafficConfig {
     private final long mVersion;
     private final RouteTable mRoutes;
-    private final Map<String, ServiceSpec> mServices = new HashMap<>();
+    private final Map<String, ServiceSpec> mServices = new LinkedHashMap<>();
     private final Map<String, WorkspaceSpec> mWorkspacesByKey = new HashMap<>();
     private final Optional<List<WorkspaceSpec>> mWorkspaces;
     private final CallerLimits mLimits;
@@ -55,6 +56,11 @@
         return Optional.ofNullable(mServices.get(name));
     }
 
+    /** Returns all services in the order of the configuration. */
+    public List<ServiceSpec> services() {
+        return List.copyOf(mServices.values());
+    }
+
     /** Returns whether requests to routes that are not public must carry an API key. */
     public boolean requiresKeys() {
         return mWorkspaces.isPresent();
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/Dialect.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/Dialect.java
@@ -23,6 +23,9 @@
     /** Reads the head of an upstream's response. */
     ResponseHead readResponse(HttpResponse head);
 
+    /** Returns the key of the record that holds the configuration. */
+    String configKey();
+
     /** Reads a version of the configuration; empty if the record is not a readable one. */
     Optional<TrafficConfig> readConfig(String key, byte[] value);
 
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/FakeDialect.java
@@ -77,6 +77,11 @@
                         .findFirst());
     }
 
+    @Override
+    public String configKey() {
+        return "config";
+    }
+
     @Override
     public Optional<TrafficConfig> readConfig(String key, byte[] value) {
         return Optional.of(
