Reject requests early while the event loop is behind

Cause: requests waited in sockets and on the loop until their callers' deadlines, and were sent upstream for callers that had disconnected.

Change: AdmissionGate measures how long ready work waits and asks AdmissionControl when a head was read. A rejection is 503 with Retry-After and Connection: close; the body is discarded and only the sending direction is closed, so that no reset loses the response. While the loop is behind, a request is sent only after the loop has read the callers' sockets; before each send the caller's connection and the deadline are checked. Rejections are counted and logged once a second; a lasting overload makes the readiness path answer 503 for at most a tenth of the time. The setting overload.admission is on where machine.processorShare is given.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param stopGraceMillis how long a graceful stop may take
  * @param milliCores the processor capacity in thousandths of a core
  * @param bounds the limits on how long changes may take to reach every instance
+ * @param admission whether requests are rejected early while the instance is overloaded
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -36,7 +37,8 @@
         long shareWindowMillis,
         long stopGraceMillis,
         int milliCores,
-        Bounds bounds) {
+        Bounds bounds,
+        boolean admission) {
     /** Copies the list of seeds. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -91,6 +91,7 @@
         mContext =
                 new RelayContext(
                         mLoop, settings.domain(), clockMillis, dialect, budget(settings), log);
+        mContext.admission().setEnabled(settings.admission());
         mRelays = new Relays(mContext);
         mPools =
                 new Pools(
@@ -207,7 +208,11 @@
     }
 
     private ControlServer.Page readiness() {
-        boolean ready = mStopPlan.isEmpty() && mContext.config().isPresent() && !isStartingBehind();
+        boolean ready =
+                mStopPlan.isEmpty()
+                        && mContext.config().isPresent()
+                        && !isStartingBehind()
+                        && mContext.admission().isReady();
         return new ControlServer.Page(ready, ready ? "ready\n" : "not ready\n");
     }
 
@@ -226,6 +231,7 @@
         RelayCounters.appendMetric(
                 text, "magnoliapick_upstreams_rate_limited", mContext.rateLimits().limitedCount());
         mRelays.statements().writeMetrics(text);
+        mContext.admission().writeMetrics(text);
         return new ControlServer.Page(true, text.toString());
     }
 
@@ -260,6 +266,7 @@
         long nowMillis = mClockMillis.getAsLong();
         mGuard.run("directory", () -> removeLapsed(nowMillis));
         mGuard.run("relays", () -> mRelays.tick(nowMillis));
+        mGuard.run("admission", () -> mContext.admission().tick(nowMillis));
         mGuard.run("pool.load", () -> logLoad(nowMillis));
         mGuard.run("pool.sweep", () -> mPools.sweep(nowMillis));
         mGuard.run("callers", () -> mCallers.sweep(nowMillis));
@@ -293,10 +300,14 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    /** Applies the settings that can change at runtime: the retry budget and the grace time. */
+    /**
+     * Applies the settings that can change at runtime: the retry budget, the grace time and whether
+     * requests are rejected early.
+     */
     void applySettings(GatewaySettings settings) {
         mContext.setBudget(budget(settings));
         mStopGraceMillis = settings.stopGraceMillis();
+        mContext.admission().setEnabled(settings.admission());
     }
 
     private static FleetRetryBudget budget(GatewaySettings settings) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
@@ -84,7 +84,8 @@
                                                 * nonNegative("machine.processorSpeed", 1)),
                         new GatewaySettings.Bounds(
                                 (long) nonNegative("bounds.leavingMillis", DEFAULT_BOUND_MILLIS),
-                                (long) nonNegative("bounds.configMillis", DEFAULT_BOUND_MILLIS)));
+                                (long) nonNegative("bounds.configMillis", DEFAULT_BOUND_MILLIS)),
+                        flag("overload.admission", find("machine.processorShare") != null));
         if (!mUnreadKeys.isEmpty()) {
             throw new IllegalArgumentException("unknown key " + mUnreadKeys.first());
         }
@@ -139,6 +140,18 @@
         return find(path) == null ? defaultValue : nonNegative(path);
     }
 
+    /** Returns a flag, or the default if the key is missing or has no value. */
+    private boolean flag(String path, boolean defaultValue) {
+        Object value = find(path);
+        if (value == null) {
+            return defaultValue;
+        }
+        if (value instanceof Boolean flag) {
+            return flag;
+        }
+        throw new IllegalArgumentException(path + ": expected true or false");
+    }
+
     private long secondsAsMillis(String path) {
         return Math.round(nonNegative(path) * MILLI_PER_UNIT);
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsWatcher.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsWatcher.java
@@ -68,6 +68,9 @@
         if (before.stopGraceMillis() != after.stopGraceMillis()) {
             changes.add("stop");
         }
+        if (before.admission() != after.admission()) {
+            changes.add("overload");
+        }
         boolean addressesChanged =
                 !before.callerAddress().equals(after.callerAddress())
                         || !before.readinessAddress().equals(after.readinessAddress())
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -23,8 +23,10 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.gateway.internal.relay.Relay;
+import org.magnoliapick.overload.Rejection;
 import org.magnoliapick.relay.RequestWait;
 
 /**
@@ -53,6 +55,9 @@
     /** When the last head arrived. */
     private long mArrivedMillis;
 
+    /** When the connection is closed although the caller has not closed it; 0 if not planned. */
+    private long mLingerUntilMillis;
+
     CallerConnection(CallerServer server, RequestDecoder decoder) {
         mServer = server;
         mDecoder = decoder;
@@ -119,6 +124,11 @@
             rejectAndClose(statusFor(head.decoderResult().cause()));
             return;
         }
+        Optional<Rejection> rejection = mServer.relays().admission().decide(head, mArrivedMillis);
+        if (rejection.isPresent()) {
+            rejectEarly(rejection.get());
+            return;
+        }
         mHead = head;
         mKeepAlive = HttpUtil.isKeepAlive(head);
         mBody = Unpooled.buffer((int) Math.max(0, Math.min(16_384, contentLength(head))));
@@ -133,6 +143,13 @@
         }
     }
 
+    /** Rejects a request whose head was just read; what follows it is discarded. */
+    private void rejectEarly(Rejection rejection) {
+        mClosing = true;
+        mLingerUntilMillis = mArrivedMillis + EarlyRejection.LINGER_MILLIS;
+        EarlyRejection.send(mChannel, rejection);
+    }
+
     private static long contentLength(HttpRequest head) {
         return HttpUtil.getContentLength(head, 0L);
     }
@@ -326,6 +343,9 @@
      * one while the server is closing connections. Rejects a request whose head is overdue.
      */
     void sweep(long nowMillis) {
+        if (mLingerUntilMillis > 0 && nowMillis >= mLingerUntilMillis) {
+            mChannel.close();
+        }
         if (mResponding || mClosing || mHead != null) {
             return;
         }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
@@ -22,6 +22,9 @@
 
 /** Writes the response to one request of a caller's connection. */
 final class CallerExchange implements CallerResponse {
+    /** The header that says whether a request that got an error response may have run. */
+    static final String OUTCOME = "Magnoliapick-Outcome";
+
     private final CallerConnection mConnection;
     private final Channel mChannel;
 
@@ -79,13 +82,14 @@
         if (retryAfterMillis.isPresent()) {
             headers.set(HttpHeaderNames.RETRY_AFTER, formatSeconds(retryAfterMillis.getAsLong()));
         }
-        headers.set("Magnoliapick-Outcome", kind.outcome().wireName());
+        headers.set(OUTCOME, kind.outcome().wireName());
         headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
         ByteBuf body = Unpooled.copiedBuffer(kind.wireName() + "\n", StandardCharsets.US_ASCII);
         sendComplete(HttpResponseStatus.valueOf(kind.httpStatus()), headers, body);
     }
 
-    private static String formatSeconds(long millis) {
+    /** Returns a time as seconds with a fraction. */
+    static String formatSeconds(long millis) {
         return millis / 1_000 + "." + String.format(Locale.ROOT, "%03d", millis % 1_000);
     }
 
@@ -112,6 +116,11 @@
         return mChannel.isWritable();
     }
 
+    @Override
+    public boolean isCallerConnected() {
+        return mChannel.isActive();
+    }
+
     private void setConnectionHeader(HttpHeaders headers) {
         if (!mConnection.staysOpen()) {
             mCloseAnnounced = true;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.HashSet;
 import java.util.List;
@@ -21,6 +22,13 @@
     /** The maximum number of connections that wait to be accepted. */
     private static final int BACKLOG = 1_024;
 
+    /**
+     * The maximum number of connections that are accepted in one turn of the loop. With Netty's
+     * default of 16, a flood of new connections waits to be accepted while the loop's own delay
+     * stays small, so that an overload is not detected.
+     */
+    private static final int MAX_ACCEPTS_PER_TURN = 256;
+
     private final EventLoopGroup mLoop;
     private final Relays mRelays;
     private final EventLog mLog;
@@ -47,13 +55,17 @@
      * @throws InterruptedException if interrupted before the address was bound
      */
     public int listen(AddressPort address) throws InterruptedException {
-        return Sockets.listen(
+        ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .childOption(ChannelOption.TCP_NODELAY, true),
-                mLoop,
-                address,
-                this::addHandlers);
+                        .childOption(ChannelOption.TCP_NODELAY, true);
+        if (mRelays.admission().isEnabled()) {
+            bootstrap.option(
+                    ChannelOption.RCVBUF_ALLOCATOR,
+                    new ServerChannelRecvByteBufAllocator()
+                            .maxMessagesPerRead(MAX_ACCEPTS_PER_TURN));
+        }
+        return Sockets.listen(bootstrap, mLoop, address, this::addHandlers);
     }
 
     /** Adds the handlers of a new connection to its pipeline. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/CallerResponse.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/CallerResponse.java
@@ -37,4 +37,7 @@
 
     /** Returns whether more can be sent now; false while the caller reads too slowly. */
     boolean isWritable();
+
+    /** Returns whether the connection to the caller is open, as far as it was read. */
+    boolean isCallerConnected();
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -296,12 +296,8 @@
         }
     }
 
-    /** Ends the request because the gateway stops now. */
-    void endForStop() {
-        endUnanswered("stop");
-    }
-
-    private void endUnanswered(String cause) {
+    /** Ends the request because of its deadline or a stop, which the log line names. */
+    void endUnanswered(String cause) {
         if (mClosed) {
             return;
         }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/RelayContext.java
@@ -30,6 +30,7 @@
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final RateLimits mRateLimits = new RateLimits();
     private final UpstreamPauses mPauses = new UpstreamPauses();
+    private final AdmissionGate mAdmission = new AdmissionGate(this);
     private Optional<TrafficConfig> mConfig = Optional.empty();
 
     /** Creates a context without a configuration. */
@@ -51,6 +52,7 @@
     /** Sets the current version of the configuration. */
     public void applyConfig(TrafficConfig config) {
         mConfig = Optional.of(config);
+        mAdmission.applyConfig(config);
     }
 
     /** Returns the current configuration; empty until one was read. */
@@ -78,6 +80,11 @@
         return mPauses;
     }
 
+    /** Returns what decides which requests are rejected while this instance is overloaded. */
+    public AdmissionGate admission() {
+        return mAdmission;
+    }
+
     /** Returns the memory for responses of upstreams. */
     BufferBudget responseBuffers() {
         return mResponseBuffers;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relays.java
@@ -53,6 +53,7 @@
     /** Creates an empty set; {@link #setPools} has to be called before the first request. */
     public Relays(RelayContext context) {
         mContext = context;
+        context.admission().setInFlight(this::inFlight);
     }
 
     /** Sets the pools, whose decisions are passed to {@link #execute}. */
@@ -194,7 +195,7 @@
     /** Ends the requests in flight, because the gateway stops now. */
     public void endAll() {
         for (Relay relay : List.copyOf(mInFlight)) {
-            relay.guard().run(relay::endForStop);
+            relay.guard().run(() -> relay.endUnanswered("stop"));
         }
     }
 
@@ -238,6 +239,11 @@
         }
     }
 
+    /** Returns what decides which requests are rejected while this instance is overloaded. */
+    public AdmissionGate admission() {
+        return mContext.admission();
+    }
+
     /** Returns what upstreams stated about themselves in responses. */
     public UpstreamStatements statements() {
         return mStatements;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -65,12 +65,34 @@
         return mSent;
     }
 
+    /**
+     * Sends the request. While the event loop is behind, this waits until the loop has read the
+     * other ready connections, because the caller's disconnect may be among what it has not read.
+     */
     void onConnected(HttpConnection connection) {
+        if (mContext.admission().isBehind()) {
+            mContext.loop().execute(() -> mRelay.guard().run(() -> send(connection)));
+        } else {
+            send(connection);
+        }
+    }
+
+    private void send(HttpConnection connection) {
         if (mEnded) {
             // Cancelled before the connection opened; nothing was sent on it.
             mRelay.connections().release(mUpstream, connection, mContext.nowMillis());
             return;
         }
+        if (!mRelay.response().isCallerConnected()) {
+            mRelay.connections().release(mUpstream, connection, mContext.nowMillis());
+            mRelay.callerDisconnected();
+            return;
+        }
+        if (mRequest.isExpired(mContext.nowMillis())) {
+            mRelay.connections().release(mUpstream, connection, mContext.nowMillis());
+            mRelay.endUnanswered("deadline");
+            return;
+        }
         if (!mRelay.mayBeSent(mUpstream)) {
             mEnded = true;
             mRelay.connections().release(mUpstream, connection, mContext.nowMillis());
@@ -176,11 +198,20 @@
             mStallWatch.progressed(mContext.nowMillis());
         } else {
             mRelay.responseProgressed();
+            recordResponseTime(success);
             mBuffered = mContext.responseBuffers().newBuffer();
         }
         return true;
     }
 
+    /** Records how long the upstream took, if this is its first response that is no failure. */
+    private void recordResponseTime(boolean first) {
+        if (first) {
+            mContext.admission()
+                    .recordResponse(mRequest.route().name(), mContext.nowMillis() - mSentMillis);
+        }
+    }
+
     /**
      * Records the rate limit that a response names. One without a limit says that there is none
      * only if the upstream itself ran the request; another server at its address misdirects it.
@@ -241,6 +272,7 @@
 
     private void receiveEvent(EventSplitter.Event event, boolean alreadyRelayed) {
         mStallWatch.progressed(mContext.nowMillis());
+        recordResponseTime(!mEventReceived);
         mEventReceived = true;
         event.id().ifPresent(id -> mLastReceived = id);
         mRelay.eventReceived();
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFleet.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFleet.java
@@ -97,7 +97,8 @@
                         common.stopGraceMillis(),
                         // The strongest machine is the dispatcher.
                         number == 0 ? 4_000 : 1_000,
-                        common.bounds());
+                        common.bounds(),
+                        common.admission());
         ByteArrayOutputStream log = new ByteArrayOutputStream();
         mLogs.add(log);
         Integer[] ports = mUpstreams.stream().map(FakeServer::port).toArray(Integer[]::new);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
@@ -53,6 +53,18 @@
         assertThat(settings.bounds()).isEqualTo(new GatewaySettings.Bounds(2_000, 2_000));
     }
 
+    @Test
+    void requestsAreRejectedEarlyWhereTheProcessorShareIsGivenUnlessTurnedOff() throws Exception {
+        assertThat(read(VALID).admission()).isFalse();
+        assertThat(read(VALID + "machine: {processorShare: }\n").admission()).isFalse();
+        assertThat(read(VALID + "machine: {processorShare: 0.3}\n").admission()).isTrue();
+        String off = "machine: {processorShare: 0.3}\noverload: {admission: false}\n";
+        assertThat(read(VALID + off).admission()).isFalse();
+        assertThat(read(VALID + "overload: {admission: true}\n").admission()).isTrue();
+        assertThatThrownBy(() -> read(VALID + "overload: {admission: 2}\n"))
+                .hasMessageContaining("overload.admission: expected true or false");
+    }
+
     @Test
     void readsAllKeys() throws Exception {
         GatewaySettings settings = read(VALID);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/FakeCallerResponse.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/relay/FakeCallerResponse.java
@@ -11,6 +11,7 @@
 final class FakeCallerResponse implements CallerResponse {
     private final CompletableFuture<String> mEnd = new CompletableFuture<>();
     private boolean mFailError;
+    private boolean mConnected = true;
 
     private Runnable mOnComplete = () -> {};
 
@@ -24,6 +25,11 @@
         mFailError = true;
     }
 
+    /** Closes the caller's connection. */
+    void disconnect() {
+        mConnected = false;
+    }
+
     /** Sets what runs when a complete response is sent. */
     void onComplete(Runnable step) {
         mOnComplete = step;
@@ -71,4 +77,9 @@
     public boolean isWritable() {
         return true;
     }
+
+    @Override
+    public boolean isCallerConnected() {
+        return mConnected;
+    }
 }
