--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
@@ -91,7 +91,8 @@
                                 (long)
                                         nonNegative(
                                                 "bounds.evacuationMillis",
-                                                DEFAULT_EVACUATION_MILLIS)));
+                                                DEFAULT_EVACUATION_MILLIS)),
+                        flag("overload.admission", find("machine.processorShare") != null));
         if (!mUnreadKeys.isEmpty()) {
             throw new IllegalArgumentException("unknown key " + mUnreadKeys.first());
         }
@@ -146,6 +147,18 @@
         return find(path) == null ? defaultValue : nonNegative(path);
     }
 
+    /** Returns a flag, or the default if the key is missing or has no value. */
+    private boolean flag(String path, boolean defaultValue) {
+        Object value = find(path);
+        if (value == null) {
+            return defaultValue;
+        }
+        if (value instanceof Boolean flag) {
+            return flag;
+        }
+        throw new IllegalArgumentException(path + ": expected true or false");
+    }
+
     private long secondsAsMillis(String path) {
         return Math.round(nonNegative(path) * MILLI_PER_UNIT);
     }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/TestSettings.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/TestSettings.java
@@ -44,6 +44,7 @@
                 4_000,
                 1_000,
                 milliCores,
-                new GatewaySettings.Bounds(2_000, 2_000, 5_000));
+                new GatewaySettings.Bounds(2_000, 2_000, 5_000),
+                false);
     }
 }
