Bound the memory that callers hold of a gateway process

Cause: nothing bounded the sum of what callers hold. Netty decodes a head line by line, so an unfinished head of 4,000 short lines cost some 600 KB; bodies were read whole into buffers that double; pipelined requests were queued as decoded objects; responses that are not read accumulated. 200 callers within the limits ended a process by OutOfMemoryError.

Change: CallerMemory (core) accounts heads, bodies, undecoded bytes, unread responses and connections against a bound derived from the heap. Pipelined requests stay undecoded until the one before is answered and the caller reads. A body without progress is rejected with 408, an unread response is closed after the idle timeout. Metrics by kind and by cause, one log line a second about rejections.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -24,6 +24,7 @@
 import org.magnoliapick.member.StorePosition;
 import org.magnoliapick.member.StoreRelay;
 import org.magnoliapick.member.StoreUpdate;
+import org.magnoliapick.memory.CallerMemory;
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.UpstreamDirectory;
 import org.magnoliapick.quarantine.PromptQuarantine;
@@ -103,7 +104,13 @@
                         mRelays::execute);
         mRelays.setPools(mPools);
         mRelays.setStartingBehind(this::isStartingBehind);
-        mCallers = new CallerServer(mGroup, mRelays, log, clockMillis);
+        mCallers =
+                new CallerServer(
+                        mGroup,
+                        mRelays,
+                        log,
+                        clockMillis,
+                        CallerMemory.forHeap(Runtime.getRuntime().maxMemory()));
         mStoreRelay =
                 new StoreRelay(settings.bounds().leavingMillis(), settings.bounds().configMillis());
         mPeers =
@@ -226,6 +233,7 @@
         RelayCounters.appendMetric(
                 text, "magnoliapick_upstreams_rate_limited", mContext.rateLimits().limitedCount());
         mRelays.statements().writeMetrics(text);
+        mCallers.writeMetrics(text);
         return new ControlServer.Page(true, text.toString());
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -1,12 +1,13 @@
 package org.magnoliapick.gateway.internal.caller;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -21,34 +22,42 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import org.magnoliapick.errors.ErrorKind;
 import org.magnoliapick.gateway.internal.relay.Relay;
+import org.magnoliapick.memory.CallerMemory;
+import org.magnoliapick.memory.ProgressWait;
 import org.magnoliapick.relay.RequestWait;
 
 /**
  * A connection from a caller. Requests are processed one at a time. Reading continues while a
  * request is in flight, so that a disconnect of the caller is detected; requests that are pipelined
- * meanwhile are queued.
+ * meanwhile stay undecoded until it is answered and the caller has read most of the response.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
-    /** Queued HTTP objects (request heads and body chunks) at which reading is paused. */
-    private static final int MAX_PIPELINED_OBJECTS = 16;
+    /** The delay after which a rejected caller may try again, in seconds. */
+    private static final int RETRY_AFTER_SECONDS = 1;
+
+    /**
+     * The time for which the rest of a rejected request is read and discarded, in milliseconds. A
+     * connection that is closed with unread bytes is reset, which may destroy the response.
+     */
+    private static final long LINGER_MILLIS = 1_000;
 
     private final CallerServer mServer;
     private final RequestDecoder mDecoder;
     private final RequestWait mWait = new RequestWait();
-    private final Deque<Object> mPipelined = new ArrayDeque<>();
+    private final ProgressWait mBodyWait = new ProgressWait();
+    private final ProgressWait mUnreadWait = new ProgressWait();
     private Channel mChannel;
+    private CallerMemory.Account mAccount;
     private HttpRequest mHead;
-    private ByteBuf mBody;
+    private RequestBody mBody;
     private CallerExchange mExchange;
     private Relay mRelay;
     private boolean mResponding;
     private boolean mKeepAlive = true;
     private boolean mClosing;
-    private boolean mHandlingPipelined;
+    private long mLingerUntilMillis;
 
     /** When the last head arrived. */
     private long mArrivedMillis;
@@ -61,6 +70,8 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         mChannel = ctx.channel();
+        mAccount = mServer.memory().open(this::rejectForMemory);
+        mDecoder.setAccount(mAccount);
         mWait.begin(mServer.limits(), mServer.nowMillis());
         mServer.opened(this);
     }
@@ -69,11 +80,10 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         mClosing = true;
         mServer.closed(this);
-        releasePipelined();
-        if (mBody != null && mRelay == null && !mResponding) {
-            mBody.release();
+        releaseBody();
+        if (mAccount != null) {
+            mAccount.close();
         }
-        mBody = null;
         Relay relay = mRelay;
         mRelay = null;
         if (relay != null) {
@@ -81,20 +91,17 @@
         }
     }
 
-    private void releasePipelined() {
-        mPipelined.forEach(ReferenceCountUtil::release);
-        mPipelined.clear();
+    private void releaseBody() {
+        if (mBody != null) {
+            mBody.release();
+            mBody = null;
+        }
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
         if (mClosing) {
             ReferenceCountUtil.release(msg);
-        } else if (mResponding) {
-            mPipelined.add(msg);
-            if (mPipelined.size() >= MAX_PIPELINED_OBJECTS) {
-                mChannel.config().setAutoRead(false);
-            }
         } else {
             handle(msg);
         }
@@ -121,7 +128,8 @@
         }
         mHead = head;
         mKeepAlive = HttpUtil.isKeepAlive(head);
-        mBody = Unpooled.buffer((int) Math.max(0, Math.min(16_384, contentLength(head))));
+        mBody = new RequestBody(mAccount, contentLength(head));
+        mBodyWait.reset();
         if (contentLength(head) > mServer.limits().maxBodyBytes()) {
             rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else if (HttpUtil.is100ContinueExpected(head)) {
@@ -152,24 +160,23 @@
         }
         if (content.decoderResult().isFailure()) {
             rejectAndClose(HttpResponseStatus.BAD_REQUEST);
-        } else if (mBody.readableBytes() + content.content().readableBytes()
+        } else if (mBody.bytes() + content.content().readableBytes()
                 > mServer.limits().maxBodyBytes()) {
             rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        } else {
-            mBody.writeBytes(content.content());
-            if (content instanceof LastHttpContent) {
-                startRelay();
-            }
+        } else if (mBody.append(content.content()) && content instanceof LastHttpContent) {
+            startRelay();
         }
     }
 
     private void startRelay() {
         mResponding = true;
-        ByteBuf body = mBody;
+        mDecoder.hold();
+        mAccount.requestArrived();
+        RequestBody body = mBody;
         mBody = null;
         HttpRequest head = mHead;
         mExchange = new CallerExchange(this, mChannel);
-        Relay relay = mServer.relays().accept(head, body, mExchange, mArrivedMillis);
+        Relay relay = mServer.relays().accept(head, body.take(), mExchange, mArrivedMillis);
         // The response may be complete already.
         if (mResponding && mHead == head) {
             mRelay = relay;
@@ -181,17 +188,63 @@
      * the start of the next request is unknown.
      */
     private void rejectAndClose(HttpResponseStatus status) {
-        if (mBody != null) {
-            mBody.release();
-            mBody = null;
-        }
+        rejectAndClose(status, false);
+    }
+
+    private void rejectAndClose(HttpResponseStatus status, boolean lingering) {
         mClosing = true;
+        releaseBody();
+        mAccount.requestEnded();
+        mDecoder.discard();
         HttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, 0)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+        }
+        ChannelFuture write = mChannel.writeAndFlush(response);
+        if (lingering && mChannel instanceof SocketChannel socket) {
+            mLingerUntilMillis = mServer.nowMillis() + LINGER_MILLIS;
+            write.addListener(done -> socket.shutdownOutput());
+        } else {
+            write.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    /**
+     * Rejects the request that is arriving, because memory is short; it has not run. If one is in
+     * flight, discards the requests behind it, or ends the response that the caller does not read.
+     */
+    private void rejectForMemory() {
+        mServer.counters().count(CallerCounters.Cause.MEMORY);
+        if (mClosing) {
+            mDecoder.discard();
+            if (unreadBytes() > 0) {
+                mChannel.close();
+            }
+        } else if (mDecoder.isHeld()) {
+            if (mDecoder.hasUndecodedBytes()) {
+                mKeepAlive = false;
+                mDecoder.discard();
+            } else if (unreadBytes() > 0) {
+                mChannel.close();
+            }
+        } else {
+            rejectAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, true);
+        }
+    }
+
+    /** Returns the size of what was written and not sent yet, in bytes. */
+    private long unreadBytes() {
+        ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
+    /** Charges what was written and not sent yet to the account. */
+    void chargeUnread() {
+        mAccount.resize(CallerMemory.Kind.RESPONSE, unreadBytes());
     }
 
     /** Returns whether the connection stays open after the response that is sent now. */
@@ -201,7 +254,7 @@
 
     /** Returns whether the caller has sent another request, or part of one, that was read. */
     private boolean isNextRequestRead() {
-        return !mPipelined.isEmpty() || mDecoder.isInsideRequest() || mDecoder.hasUndecodedBytes();
+        return mDecoder.isInsideRequest() || mDecoder.hasUndecodedBytes();
     }
 
     /**
@@ -213,54 +266,26 @@
         mResponding = false;
         mRelay = null;
         mHead = null;
+        mAccount.requestEnded();
+        chargeUnread();
         mWait.begin(mServer.limits(), mServer.nowMillis());
-        if (closeAnnounced) {
+        if (closeAnnounced || mDecoder.isDiscarding()) {
             mClosing = true;
             logDropped();
-            releasePipelined();
+            mDecoder.discard();
             mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-            return;
+        } else if (mChannel.isWritable()) {
+            mDecoder.resume();
         }
-        mChannel.config().setAutoRead(true);
-        handlePipelined();
     }
 
-    /**
-     * Handles the objects that were read during a response, until another request is in flight. A
-     * request that is answered at once is followed by the next one in the same loop, so that the
-     * depth of the stack does not grow with their number.
-     */
-    private void handlePipelined() {
-        if (mHandlingPipelined) {
-            return;
-        }
-        mHandlingPipelined = true;
-        try {
-            while (!mResponding && !mClosing && !mPipelined.isEmpty()) {
-                handleGuarded(mPipelined.poll());
-            }
-        } finally {
-            mHandlingPipelined = false;
-        }
-    }
-
-    /** Handles an object; a fault is not passed on, because the previous request is answered. */
-    private void handleGuarded(Object msg) {
-        try {
-            handle(msg);
-        } catch (RuntimeException | Error e) {
-            endAfterFault(e);
-        }
-    }
-
-    /** Logs the requests that the caller sent after it had received the request to close. */
+    /** Logs that the caller sent a request after it had received the request to close. */
     private void logDropped() {
-        long dropped = mPipelined.stream().filter(HttpRequest.class::isInstance).count();
-        if (dropped > 0) {
+        if (mDecoder.hasUndecodedBytes()) {
             mServer.log()
                     .line("caller.closed")
                     .with("reason", mKeepAlive ? "stopping" : "caller")
-                    .with("unansweredRequests", dropped)
+                    .with("undecodedBytes", mDecoder.undecodedBytes())
                     .log();
         }
     }
@@ -291,6 +316,9 @@
         if (mRelay != null) {
             mRelay.callerWritabilityChanged();
         }
+        if (!mResponding && !mClosing && mDecoder.isHeld() && mChannel.isWritable()) {
+            mDecoder.resume();
+        }
     }
 
     @Override
@@ -323,12 +351,45 @@
 
     /**
      * Closes the connection if it has waited for a request beyond the idle timeout, or waits for
-     * one while the server is closing connections. Rejects a request whose head is overdue.
+     * one while the server is closing connections, or if its caller does not read a response.
+     * Rejects a request whose head is overdue, or whose body makes no progress.
      */
     void sweep(long nowMillis) {
-        if (mResponding || mClosing || mHead != null) {
+        chargeUnread();
+        if (isResponseUnread(nowMillis) || (mLingerUntilMillis > 0 && isLingerOver(nowMillis))) {
+            mChannel.close();
+        } else if (mClosing || mResponding || mDecoder.isHeld()) {
             return;
+        } else if (mHead == null) {
+            sweepWaiting(nowMillis);
+        } else if (mBodyWait.isOverdue(
+                mBody.bytes(), mServer.limits().idleTimeoutMillis(), nowMillis)) {
+            end(CallerCounters.Cause.BODY_TIMEOUT, nowMillis);
+            rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT, true);
+        }
+    }
+
+    private boolean isLingerOver(long nowMillis) {
+        return nowMillis >= mLingerUntilMillis;
+    }
+
+    /** Returns whether a response is unread, without progress, for longer than the idle timeout. */
+    private boolean isResponseUnread(long nowMillis) {
+        ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
+        if (buffer == null || buffer.isEmpty()) {
+            mUnreadWait.reset();
+            return false;
         }
+        long limitMillis = mServer.limits().idleTimeoutMillis();
+        long progress = ((long) buffer.size() << Integer.SIZE) + buffer.currentProgress();
+        boolean overdue = mUnreadWait.isOverdue(progress, limitMillis, nowMillis);
+        if (overdue) {
+            end(CallerCounters.Cause.UNREAD_RESPONSE, nowMillis);
+        }
+        return overdue;
+    }
+
+    private void sweepWaiting(long nowMillis) {
         RequestWait.Verdict verdict =
                 mWait.check(
                         mServer.limits(),
@@ -339,12 +400,7 @@
             return;
         }
         boolean headOverdue = verdict == RequestWait.Verdict.REJECT;
-        mServer.log()
-                .line("caller.closed")
-                .with("reason", reason(headOverdue))
-                .with("waitedMillis", mWait.waitedMillis(nowMillis))
-                .with("idleLimitMillis", mWait.idleLimitMillis(mServer.limits()))
-                .log();
+        end(causeOf(headOverdue), nowMillis);
         if (headOverdue) {
             rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
         } else {
@@ -353,10 +409,20 @@
         }
     }
 
-    private String reason(boolean headOverdue) {
+    private CallerCounters.Cause causeOf(boolean headOverdue) {
         if (headOverdue) {
-            return "head-timeout";
+            return CallerCounters.Cause.HEAD_TIMEOUT;
         }
-        return mServer.isClosing() ? "stopping" : "idle";
+        return mServer.isClosing() ? CallerCounters.Cause.STOPPING : CallerCounters.Cause.IDLE;
+    }
+
+    private void end(CallerCounters.Cause cause, long nowMillis) {
+        mServer.counters().count(cause);
+        mServer.log()
+                .line("caller.closed")
+                .with("reason", cause.logName())
+                .with("waitedMillis", mWait.waitedMillis(nowMillis))
+                .with("idleLimitMillis", mWait.idleLimitMillis(mServer.limits()))
+                .log();
     }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerExchange.java
@@ -64,6 +64,9 @@
     @Override
     public void sendChunk(ByteBuf chunk) {
         mChannel.writeAndFlush(new DefaultHttpContent(chunk), mChannel.voidPromise());
+        if (!mChannel.isWritable()) {
+            mConnection.chargeUnread();
+        }
     }
 
     @Override
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -14,6 +14,7 @@
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.gateway.internal.log.FaultGuard;
 import org.magnoliapick.gateway.internal.relay.Relays;
+import org.magnoliapick.memory.CallerMemory;
 import org.magnoliapick.route.CallerLimits;
 
 /** The HTTP server that accepts callers' connections. */
@@ -26,19 +27,27 @@
     private final EventLog mLog;
     private final FaultGuard mGuard;
     private final LongSupplier mClockMillis;
-    private final Set<CallerConnection> mConnections = new HashSet<>();
+    private final CallerMemory mMemory;
+    private final CallerCounters mCounters;
+    private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
     private CallerLimits mLimits = CallerLimits.INITIAL;
     private boolean mDraining;
     private boolean mClosing;
 
     /** Creates a server that does not listen yet. */
     public CallerServer(
-            EventLoopGroup loop, Relays relays, EventLog log, LongSupplier clockMillis) {
+            EventLoopGroup loop,
+            Relays relays,
+            EventLog log,
+            LongSupplier clockMillis,
+            CallerMemory memory) {
         mLoop = loop;
         mRelays = relays;
         mLog = log;
         mGuard = new FaultGuard(log);
         mClockMillis = clockMillis;
+        mMemory = memory;
+        mCounters = new CallerCounters(memory);
     }
 
     /**
@@ -87,6 +96,12 @@
     public void sweep(long nowMillis) {
         List.copyOf(mConnections)
                 .forEach(each -> mGuard.run("caller", () -> each.sweep(nowMillis)));
+        mCounters.logRejected(mLog, nowMillis);
+    }
+
+    /** Appends the metrics of callers' connections as text. */
+    public void writeMetrics(StringBuilder text) {
+        mCounters.write(text);
     }
 
     /** Returns the number of open caller connections. */
@@ -107,6 +122,14 @@
         return mDraining;
     }
 
+    CallerMemory memory() {
+        return mMemory;
+    }
+
+    CallerCounters counters() {
+        return mCounters;
+    }
+
     Relays relays() {
         return mRelays;
     }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/IdleConnectionLosesRequestTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/IdleConnectionLosesRequestTest.java
@@ -22,6 +22,7 @@
 import org.magnoliapick.gateway.internal.relay.Pools;
 import org.magnoliapick.gateway.internal.relay.RelayContext;
 import org.magnoliapick.gateway.internal.relay.Relays;
+import org.magnoliapick.memory.CallerMemory;
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.UpstreamDirectory;
 import org.magnoliapick.relay.FleetRetryBudget;
@@ -66,7 +67,8 @@
                         context.rateLimits(),
                         context.pauses(),
                         relays::execute));
-        mServer = new CallerServer(mGroup, relays, log, mClockMillis::get);
+        mServer =
+                new CallerServer(mGroup, relays, log, mClockMillis::get, new CallerMemory(1 << 20));
         setIdleTimeout(IDLE_MILLIS);
         mChannel = new EmbeddedChannel();
         mServer.addHandlers(mChannel.pipeline());
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/UnwrittenResponseTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/UnwrittenResponseTest.java
@@ -25,6 +25,7 @@
 import org.magnoliapick.gateway.internal.relay.Pools;
 import org.magnoliapick.gateway.internal.relay.RelayContext;
 import org.magnoliapick.gateway.internal.relay.Relays;
+import org.magnoliapick.memory.CallerMemory;
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.UpstreamDirectory;
 import org.magnoliapick.relay.FleetRetryBudget;
@@ -69,7 +70,8 @@
                         relays::execute);
         relays.setPools(mPools);
         mChannel = new EmbeddedChannel();
-        new CallerServer(mGroup, relays, log, this::nowMillis).addHandlers(mChannel.pipeline());
+        new CallerServer(mGroup, relays, log, this::nowMillis, new CallerMemory(1 << 20))
+                .addHandlers(mChannel.pipeline());
         mChannel.pipeline().fireChannelActive();
     }
 
