Bound the number of callers' connections by the file descriptors

Cause: nothing bounded the connections of callers, so that a crowd could use up the descriptors or, by their base cost, the memory of a machine.

The part of the memory that large requests leave is at most 4 MB.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/memory/CallerMemory.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/memory/CallerMemory.java
@@ -31,8 +31,14 @@
     /** One of so many parts is kept free of large requests, so that small ones are admitted. */
     private static final int SMALL_PARTS = 8;
 
-    /** One of so many parts may be used by connections without a request. */
-    private static final int CONNECTION_PARTS = 2;
+    /** The maximum size of that part, in bytes; more than a thousand small requests. */
+    private static final long MAX_SMALL_PART_BYTES = 4L << 20;
+
+    /** One of so many parts is kept free of connections, so that they can send requests. */
+    private static final int REQUEST_PARTS = 4;
+
+    /** Descriptors that are used for files and for the instance's own sockets. */
+    private static final int OTHER_DESCRIPTORS = 200;
 
     /** The cost of an open connection: channel, pipeline, codec and buffers, in bytes. */
     public static final long CONNECTION_BYTES = 8_192;
@@ -123,9 +129,19 @@
         return account;
     }
 
-    /** Returns the maximum number of connections whose cost leaves room for requests. */
-    public long maxConnections() {
-        return mMaxBytes / CONNECTION_PARTS / CONNECTION_BYTES;
+    /**
+     * Returns the maximum number of connections of callers: as many as leave memory for their
+     * requests, and a descriptor for the connection to an upstream of each request in flight.
+     *
+     * @param maxDescriptors the number of descriptors that the process may have; 0 if unknown
+     */
+    public long maxConnections(long maxDescriptors) {
+        long byMemory = (mMaxBytes - mMaxBytes / REQUEST_PARTS) / CONNECTION_BYTES;
+        long byDescriptors =
+                maxDescriptors == 0
+                        ? Long.MAX_VALUE
+                        : Math.max(1, (maxDescriptors - OTHER_DESCRIPTORS) / 2);
+        return Math.min(byMemory, byDescriptors);
     }
 
     /** Returns the bound, in bytes. */
@@ -253,7 +269,9 @@
         }
 
         private long limitBytes() {
-            return mRequestBytes > SMALL_BYTES ? mMaxBytes - mMaxBytes / SMALL_PARTS : mMaxBytes;
+            return mRequestBytes > SMALL_BYTES
+                    ? mMaxBytes - Math.min(MAX_SMALL_PART_BYTES, mMaxBytes / SMALL_PARTS)
+                    : mMaxBytes;
         }
 
         /** Returns the memory of what has not arrived completely, in bytes. */
--- a/magnoliapick-core/src/test/java/org/magnoliapick/memory/CallerMemoryTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/memory/CallerMemoryTest.java
@@ -69,6 +69,17 @@
         }
     }
 
+    /** The machines of deployments have 2,212 to 10,250 descriptors. */
+    @Test
+    void connectionsLeaveDescriptorsForUpstreamsAndMemoryForRequests() {
+        assertThat(mMemory.maxConnections(2_212)).isEqualTo(1_006);
+        assertThat(mMemory.maxConnections(10_250)).isEqualTo(5_025);
+        assertThat(mMemory.maxConnections(100)).isEqualTo(1);
+        long unbounded = mMemory.maxConnections(0);
+        assertThat(unbounded * CallerMemory.CONNECTION_BYTES + 2 * BODY_BYTES)
+                .isLessThan(mMemory.maxBytes());
+    }
+
     @Test
     void unfinishedBodiesStayWithinBound() {
         List<Caller> callers = callers(40);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param stopGraceMillis how long a graceful stop may take
  * @param milliCores the processor capacity in thousandths of a core
  * @param bounds the limits on how long changes may take to reach every instance
+ * @param maxDescriptors the number of file descriptors that the process may have; 0 if unknown
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -36,12 +37,47 @@
         long shareWindowMillis,
         long stopGraceMillis,
         int milliCores,
-        Bounds bounds) {
+        Bounds bounds,
+        long maxDescriptors) {
     /** Copies the list of seeds. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
     }
 
+    /** Creates settings of a process whose number of descriptors is unknown. */
+    public GatewaySettings(
+            InstanceId instance,
+            FailureDomain domain,
+            AddressPort callerAddress,
+            AddressPort readinessAddress,
+            String readinessPath,
+            AddressPort controlAddress,
+            AddressPort peerAddress,
+            List<AddressPort> seeds,
+            AddressPort storeAddress,
+            RetryBudget retryBudget,
+            long shareWindowMillis,
+            long stopGraceMillis,
+            int milliCores,
+            Bounds bounds) {
+        this(
+                instance,
+                domain,
+                callerAddress,
+                readinessAddress,
+                readinessPath,
+                controlAddress,
+                peerAddress,
+                seeds,
+                storeAddress,
+                retryBudget,
+                shareWindowMillis,
+                stopGraceMillis,
+                milliCores,
+                bounds,
+                0);
+    }
+
     /**
      * The limit on retries at upstreams, over the whole fleet.
      *
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -111,6 +111,7 @@
                         log,
                         clockMillis,
                         CallerMemory.forHeap(Runtime.getRuntime().maxMemory()));
+        mCallers.setMaxDescriptors(settings.maxDescriptors());
         mStoreRelay =
                 new StoreRelay(settings.bounds().leavingMillis(), settings.bounds().configMillis());
         mPeers =
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
@@ -84,7 +84,8 @@
                                                 * nonNegative("machine.processorSpeed", 1)),
                         new GatewaySettings.Bounds(
                                 (long) nonNegative("bounds.leavingMillis", DEFAULT_BOUND_MILLIS),
-                                (long) nonNegative("bounds.configMillis", DEFAULT_BOUND_MILLIS)));
+                                (long) nonNegative("bounds.configMillis", DEFAULT_BOUND_MILLIS)),
+                        (long) nonNegative("machine.maxDescriptors", 0));
         if (!mUnreadKeys.isEmpty()) {
             throw new IllegalArgumentException("unknown key " + mUnreadKeys.first());
         }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerConnection.java
@@ -269,6 +269,7 @@
         mAccount.requestEnded();
         chargeUnread();
         mWait.begin(mServer.limits(), mServer.nowMillis());
+        mServer.becameIdle(this);
         if (closeAnnounced || mDecoder.isDiscarding()) {
             mClosing = true;
             logDropped();
@@ -307,10 +308,24 @@
     /** Closes the connection in the middle of a response. */
     void abort() {
         mRelay = null;
+        close();
+    }
+
+    /** Closes the connection. */
+    void close() {
         mClosing = true;
         mChannel.close();
     }
 
+    /** Returns whether no part of a request has arrived and no response is being written. */
+    boolean isIdle() {
+        return !mResponding
+                && !mClosing
+                && mHead == null
+                && !mDecoder.isHeld()
+                && !mDecoder.isInsideRequest();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (mRelay != null) {
@@ -404,8 +419,7 @@
         if (headOverdue) {
             rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
         } else {
-            mClosing = true;
-            mChannel.close();
+            close();
         }
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
@@ -30,6 +30,7 @@
     private final CallerMemory mMemory;
     private final CallerCounters mCounters;
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
+    private long mMaxConnections;
     private CallerLimits mLimits = CallerLimits.INITIAL;
     private boolean mDraining;
     private boolean mClosing;
@@ -48,6 +49,12 @@
         mClockMillis = clockMillis;
         mMemory = memory;
         mCounters = new CallerCounters(memory);
+        setMaxDescriptors(0);
+    }
+
+    /** Sets the number of descriptors that the process may have; 0 if it is unknown. */
+    public void setMaxDescriptors(long maxDescriptors) {
+        mMaxConnections = mMemory.maxConnections(maxDescriptors);
     }
 
     /**
@@ -142,8 +149,27 @@
         return mClockMillis.getAsLong();
     }
 
+    /**
+     * Adds a connection; if there are too many, closes the one that has been idle longest, or the
+     * new one if none is idle.
+     */
     void opened(CallerConnection connection) {
         mConnections.add(connection);
+        if (mConnections.size() > mMaxConnections) {
+            mCounters.count(CallerCounters.Cause.CONNECTIONS);
+            mConnections.stream()
+                    .filter(CallerConnection::isIdle)
+                    .findFirst()
+                    .orElse(connection)
+                    .close();
+        }
+    }
+
+    /** Moves a connection that becomes idle behind those that have been idle for longer. */
+    void becameIdle(CallerConnection connection) {
+        if (mConnections.remove(connection)) {
+            mConnections.add(connection);
+        }
     }
 
     void closed(CallerConnection connection) {
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
@@ -40,9 +40,11 @@
         GatewaySettings settings =
                 read(
                         VALID
-                                + "machine: {processorShare: 0.75, processorSpeed: 2}\n"
+                                + "machine: {processorShare: 0.75, processorSpeed: 2,"
+                                + " maxDescriptors: 2212}\n"
                                 + "bounds: {leavingMillis: 4000, configMillis: 3000}\n");
         assertThat(settings.milliCores()).isEqualTo(1_500);
+        assertThat(settings.maxDescriptors()).isEqualTo(2_212);
         assertThat(settings.bounds()).isEqualTo(new GatewaySettings.Bounds(4_000, 3_000));
     }
 
