--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
@@ -22,6 +22,7 @@
  * @param milliCores the processor capacity in thousandths of a core
  * @param bounds the limits on how long changes may take to reach every instance
  * @param admission whether requests are rejected early while the instance is overloaded
+ * @param maxDescriptors the number of file descriptors that the process may have; 0 if unknown
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -38,7 +39,8 @@
         long stopGraceMillis,
         int milliCores,
         Bounds bounds,
-        boolean admission) {
+        boolean admission,
+        long maxDescriptors) {
     /** Copies the list of seeds. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -24,6 +24,7 @@
 import org.magnoliapick.member.StorePosition;
 import org.magnoliapick.member.StoreRelay;
 import org.magnoliapick.member.StoreUpdate;
+import org.magnoliapick.memory.CallerMemory;
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.UpstreamDirectory;
 import org.magnoliapick.quarantine.PromptQuarantine;
@@ -104,7 +105,14 @@
                         mRelays::execute);
         mRelays.setPools(mPools);
         mRelays.setStartingBehind(this::isStartingBehind);
-        mCallers = new CallerServer(mGroup, mRelays, log, clockMillis);
+        mCallers =
+                new CallerServer(
+                        mGroup,
+                        mRelays,
+                        log,
+                        clockMillis,
+                        CallerMemory.forHeap(Runtime.getRuntime().maxMemory()));
+        mCallers.setMaxDescriptors(settings.maxDescriptors());
         mStoreRelay =
                 new StoreRelay(
                         settings.bounds().leavingMillis(), settings.bounds().configTopicMillis());
@@ -233,6 +241,7 @@
                 text, "magnoliapick_upstreams_rate_limited", mContext.rateLimits().limitedCount());
         mRelays.statements().writeMetrics(text);
         mContext.admission().writeMetrics(text);
+        mCallers.writeMetrics(text);
         return new ControlServer.Page(true, text.toString());
     }
 
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
@@ -92,7 +92,8 @@
                                         nonNegative(
                                                 "bounds.evacuationMillis",
                                                 DEFAULT_EVACUATION_MILLIS)),
-                        flag("overload.admission", find("machine.processorShare") != null));
+                        flag("overload.admission", find("machine.processorShare") != null),
+                        (long) nonNegative("machine.maxDescriptors", 0));
         if (!mUnreadKeys.isEmpty()) {
             throw new IllegalArgumentException("unknown key " + mUnreadKeys.first());
         }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/CallerServer.java
@@ -6,7 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -15,6 +15,7 @@
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.gateway.internal.log.FaultGuard;
 import org.magnoliapick.gateway.internal.relay.Relays;
+import org.magnoliapick.memory.CallerMemory;
 import org.magnoliapick.route.CallerLimits;
 
 /** The HTTP server that accepts callers' connections. */
@@ -34,19 +35,34 @@
     private final EventLog mLog;
     private final FaultGuard mGuard;
     private final LongSupplier mClockMillis;
-    private final Set<CallerConnection> mConnections = new HashSet<>();
+    private final CallerMemory mMemory;
+    private final CallerCounters mCounters;
+    private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
+    private long mMaxConnections;
     private CallerLimits mLimits = CallerLimits.INITIAL;
     private boolean mDraining;
     private boolean mClosing;
 
     /** Creates a server that does not listen yet. */
     public CallerServer(
-            EventLoopGroup loop, Relays relays, EventLog log, LongSupplier clockMillis) {
+            EventLoopGroup loop,
+            Relays relays,
+            EventLog log,
+            LongSupplier clockMillis,
+            CallerMemory memory) {
         mLoop = loop;
         mRelays = relays;
         mLog = log;
         mGuard = new FaultGuard(log);
         mClockMillis = clockMillis;
+        mMemory = memory;
+        mCounters = new CallerCounters(memory);
+        setMaxDescriptors(0);
+    }
+
+    /** Sets the number of descriptors that the process may have; 0 if it is unknown. */
+    public void setMaxDescriptors(long maxDescriptors) {
+        mMaxConnections = mMemory.maxConnections(maxDescriptors);
     }
 
     /**
@@ -99,6 +115,12 @@
     public void sweep(long nowMillis) {
         List.copyOf(mConnections)
                 .forEach(each -> mGuard.run("caller", () -> each.sweep(nowMillis)));
+        mCounters.logRejected(mLog, nowMillis);
+    }
+
+    /** Appends the metrics of callers' connections as text. */
+    public void writeMetrics(StringBuilder text) {
+        mCounters.write(text);
     }
 
     /** Returns the number of open caller connections. */
@@ -119,6 +141,14 @@
         return mDraining;
     }
 
+    CallerMemory memory() {
+        return mMemory;
+    }
+
+    CallerCounters counters() {
+        return mCounters;
+    }
+
     Relays relays() {
         return mRelays;
     }
@@ -131,8 +161,27 @@
         return mClockMillis.getAsLong();
     }
 
+    /**
+     * Adds a connection; if there are too many, closes the one that has been idle longest, or the
+     * new one if none is idle.
+     */
     void opened(CallerConnection connection) {
         mConnections.add(connection);
+        if (mConnections.size() > mMaxConnections) {
+            mCounters.count(CallerCounters.Cause.CONNECTIONS);
+            mConnections.stream()
+                    .filter(CallerConnection::isIdle)
+                    .findFirst()
+                    .orElse(connection)
+                    .close();
+        }
+    }
+
+    /** Moves a connection that becomes idle behind those that have been idle for longer. */
+    void becameIdle(CallerConnection connection) {
+        if (mConnections.remove(connection)) {
+            mConnections.add(connection);
+        }
     }
 
     void closed(CallerConnection connection) {
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFleet.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFleet.java
@@ -98,7 +98,8 @@
                         // The strongest machine is the dispatcher.
                         number == 0 ? 4_000 : 1_000,
                         common.bounds(),
-                        common.admission());
+                        common.admission(),
+                        common.maxDescriptors());
         ByteArrayOutputStream log = new ByteArrayOutputStream();
         mLogs.add(log);
         Integer[] ports = mUpstreams.stream().map(FakeServer::port).toArray(Integer[]::new);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/TestSettings.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/TestSettings.java
@@ -45,6 +45,7 @@
                 1_000,
                 milliCores,
                 new GatewaySettings.Bounds(2_000, 2_000, 5_000),
-                false);
+                false,
+                0);
     }
 }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/OverloadRejectionTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/caller/OverloadRejectionTest.java
@@ -30,6 +30,7 @@
 import org.magnoliapick.gateway.internal.relay.RelayContext;
 import org.magnoliapick.gateway.internal.relay.Relays;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.memory.CallerMemory;
 import org.magnoliapick.pool.PoolSettings;
 import org.magnoliapick.pool.UpstreamDirectory;
 import org.magnoliapick.relay.FleetRetryBudget;
@@ -93,7 +94,7 @@
                         relays::execute);
         pools.setDispatcher(Optional::empty, () -> {}, () -> {});
         relays.setPools(pools);
-        mServer = new CallerServer(mGroup, relays, log, this::nowMillis);
+        mServer = new CallerServer(mGroup, relays, log, this::nowMillis, new CallerMemory(1 << 20));
         mPort = mServer.listen(TestSettings.loopback(0));
     }
 
