Keep the decoder's loop from being entered again when a caller is gone

Cause: bytes that are decoded after the end of a connection may be answered at once, and the response would begin another loop over the same buffer.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/RequestDecoder.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/caller/RequestDecoder.java
@@ -121,6 +121,13 @@
         }
     }
 
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        // The superclass decodes the rest in a loop, in which a response must not begin another.
+        mDecoding = true;
+        super.channelInactive(ctx);
+    }
+
     /** Returns whether what is read is discarded. */
     boolean isDiscarding() {
         return mDiscarding;
