End the event loop of gateways that tests have stopped

Cause: a stopped gateway in a test process kept calling its store's address. With more gateways in the tests, another test's server got such calls on a port that was used again: GatewayPathTest .resumesAStreamThatBrokeInsideAnEvent and PausedUpstreamPathTest .ignoresTheRefusalOfAnotherRequest failed once each in a run of all tests of the gateway, both with GET /from/CONFIG/4 among the requests.

Change: GatewayProcess.close stops and ends the event loop; the fixtures of the tests use it. A real process still ends by stop alone.

Result: EvacuationPathTest, PausedUpstreamPathTest, GatewayPathTest and StopLosesRequestTest pass in one process (37 tests). All tests of the gateway and of platform were not run again on this commit.

--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -322,6 +322,16 @@
         mLog.line("instance.stopped").with("underWay", mRelays.inFlight()).log();
     }
 
+    /** Ends the event loop at once, so that nothing is read from the store any more. */
+    void endEventLoop() {
+        mGroup.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    /** Returns whether the event loop has ended. */
+    boolean isEventLoopEnded() {
+        return mLoop.isShuttingDown();
+    }
+
     /**
      * Closes connections once the stop plan accepts no more requests, and lets {@link #stop} return
      * when none is left. When the plan's time to close the rest has come, ends the requests in
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/GatewayProcess.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/GatewayProcess.java
@@ -66,6 +66,9 @@
 
     /** Stops gracefully; returns once no caller is connected or the grace time has passed. */
     public void stop() {
+        if (mGateway.isEventLoopEnded()) {
+            return;
+        }
         try {
             mGateway.stop();
             mLogWriter.stop(LOG_STOP_TIMEOUT_MILLIS);
@@ -73,4 +76,13 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    /**
+     * Stops and ends the event loop, for a caller whose process goes on. Otherwise the gateway
+     * would keep calling its store's address, which may belong to another server by then.
+     */
+    public void close() {
+        stop();
+        mGateway.endEventLoop();
+    }
 }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFixture.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFixture.java
@@ -105,7 +105,7 @@
 
     @Override
     public void close() throws Exception {
-        mProcess.stop();
+        mProcess.close();
         mStore.close();
         for (FakeServer each : mUpstreams) {
             each.close();
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFleet.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFleet.java
@@ -108,7 +108,7 @@
                         new PrintStream(log, true, StandardCharsets.UTF_8),
                         () -> System.nanoTime() / 1_000_000 + mClockLeadMillis.get());
         process.start();
-        mCloseables.add(process::stop);
+        mCloseables.add(process::close);
         mCallerPorts.add(process.callerPort());
     }
 
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/RestoredStoreTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/RestoredStoreTest.java
@@ -129,7 +129,7 @@
                         new PrintStream(mLog, true, StandardCharsets.UTF_8),
                         () -> System.nanoTime() / 1_000_000 + mClockLeadMillis.get());
         process.start();
-        mCloseables.add(process::stop);
+        mCloseables.add(process::close);
         mCallerPort = process.callerPort();
         awaitInForce(4);
         awaitLogged("\"upstream\":\"u\",\"leaving\":false");
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/RunningGateway.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/RunningGateway.java
@@ -83,7 +83,7 @@
 
     /** Stops the gateway and starts it again with an empty log. */
     public void restart() throws Exception {
-        mProcess.stop();
+        mProcess.close();
         mLog = new ByteArrayOutputStream();
         startProcess();
         awaitLogged("\"config.in-force\"");
@@ -230,7 +230,7 @@
 
     @Override
     public void close() throws Exception {
-        mProcess.stop();
+        mProcess.close();
         for (AutoCloseable each : mCloseables) {
             each.close();
         }
