Admit requests at the rate at which they end while overloaded

Cause: the cost of a request comes mostly after its admission.

Change: while overloaded, AdmissionControl admits at the rate at which requests ended in the last intervals, and less while the least delay is above its target. The overload ends only without rejections, or after 3 s without delay.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/overload/AdmissionControl.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/overload/AdmissionControl.java
@@ -29,6 +29,12 @@
      */
     static final long MAX_INTERVAL_MILLIS = 1_500;
 
+    /**
+     * How long requests are rejected without any delay, in milliseconds. This bounds what is lost
+     * if the rate of admission is too low.
+     */
+    private static final long MAX_REJECTING_MILLIS = 3_000;
+
     /**
      * The target is this fraction of the shortest objective. A request passes the loop about four
      * times (head, placement, connection, response), so it waits for a third of its objective.
@@ -51,6 +57,20 @@
     /** The maximum of the advice to callers, in milliseconds; a load is not known for longer. */
     private static final long MAX_RETRY_MILLIS = 2_000;
 
+    /** By which factor the rate of admission exceeds that of ended requests, without delay. */
+    private static final double RAISING = 1.1;
+
+    /** By which factor it is lowered at most and at least while there is a delay. */
+    private static final double MIN_LOWERING = 0.5;
+
+    private static final double MAX_LOWERING = 0.9;
+
+    /** The weight of the last interval in the rate at which requests end. */
+    private static final double INTERVAL_WEIGHT = 0.5;
+
+    /** The time whose admissions may come at once, in milliseconds: the period of a quota. */
+    private static final double BURST_MILLIS = 100;
+
     private static final long NONE = -1;
 
     private final Map<Rejection.Cause, Long> mRejected = new EnumMap<>(Rejection.Cause.class);
@@ -69,9 +89,24 @@
     private long mBelowSinceMillis = NONE;
 
     private boolean mOverloaded;
+
+    /** The rate at which requests ended in the last intervals, per millisecond. */
+    private double mEndedPerMilli;
+
+    /** The rate at which requests are admitted while overloaded, per millisecond. */
+    private double mAdmittedPerMilli;
+
+    /** The number of requests that may be admitted now while overloaded, and since when. */
+    private double mTokens;
+
+    private long mTokensMillis;
+
+    private long mRejectedMillis;
     private long mAdmitted;
     private long mWindowStartMillis = NONE;
     private long mWindowAdmitted;
+    private long mWindowInFlight;
+    private long mWindowMinDelayMillis = Long.MAX_VALUE;
     private double mMillisPerAdmitted = INTERVAL_MILLIS;
 
     /** When all callers that were told to retry will have been served at the present rate. */
@@ -110,6 +145,7 @@
     public boolean endMeasurement(long delayMillis, long nowMillis) {
         mPostedMillis = NONE;
         mDelayMillis = delayMillis;
+        mWindowMinDelayMillis = Math.min(mWindowMinDelayMillis, delayMillis);
         boolean above = delayMillis > mTargetMillis;
         if (!above) {
             mAboveSinceMillis = NONE;
@@ -128,13 +164,24 @@
 
     private void update(long nowMillis) {
         if (mOverloaded) {
-            mOverloaded =
-                    mBelowSinceMillis == NONE || nowMillis - mBelowSinceMillis < INTERVAL_MILLIS;
-        } else {
-            mOverloaded = isDelayStanding(nowMillis);
+            mOverloaded = isStillOverloaded(nowMillis);
+        } else if (isDelayStanding(nowMillis)) {
+            mOverloaded = true;
         }
     }
 
+    /**
+     * Returns whether an overload lasts. While requests are still being rejected, the delay may be
+     * low only for that reason, so this takes longer.
+     */
+    private boolean isStillOverloaded(long nowMillis) {
+        if (mBelowSinceMillis == NONE) {
+            return true;
+        }
+        boolean rejecting = nowMillis - mRejectedMillis < INTERVAL_MILLIS;
+        return nowMillis - mBelowSinceMillis < (rejecting ? MAX_REJECTING_MILLIS : INTERVAL_MILLIS);
+    }
+
     private boolean isDelayStanding(long nowMillis) {
         if (mAboveSinceMillis == NONE) {
             return false;
@@ -174,9 +221,10 @@
     public Optional<Rejection> decide(
             Supplier<Optional<RequestNeed>> need, int inFlight, long nowMillis) {
         update(nowMillis);
-        advanceWindow(nowMillis);
+        advanceWindow(inFlight, nowMillis);
         if (mOverloaded && inFlight > 0) {
-            if (turnMillis(nowMillis) > admittingMillis()) {
+            refillTokens(nowMillis);
+            if (mTokens < 1 || turnMillis(nowMillis) > admittingMillis()) {
                 return Optional.of(reject(Rejection.Cause.STANDING_DELAY, nowMillis));
             }
             // The request arrived while the previous turn lasted, on average in its middle, and its
@@ -185,6 +233,7 @@
             if (need.get().filter(each -> !each.canBeMet(waitMillis)).isPresent()) {
                 return Optional.of(reject(Rejection.Cause.TOO_LATE, nowMillis));
             }
+            mTokens--;
         }
         mAdmitted++;
         mWindowAdmitted++;
@@ -202,23 +251,49 @@
                 : mTargetMillis * mHarmMillis / mDelayMillis;
     }
 
-    private void advanceWindow(long nowMillis) {
+    private void advanceWindow(int inFlight, long nowMillis) {
         long windowMillis = nowMillis - mWindowStartMillis;
         if (mWindowStartMillis == NONE || windowMillis >= INTERVAL_MILLIS) {
             if (mWindowStartMillis != NONE) {
                 mMillisPerAdmitted = (double) windowMillis / Math.max(1, mWindowAdmitted);
+                long ended = mWindowAdmitted + mWindowInFlight - inFlight;
+                setRate((double) ended / windowMillis);
             }
             mWindowStartMillis = nowMillis;
             mWindowAdmitted = 0;
+            mWindowInFlight = inFlight;
+            mWindowMinDelayMillis = Long.MAX_VALUE;
         }
     }
 
+    /**
+     * Sets the rate of admission to a part of the rate at which requests end while the least delay
+     * of an interval is above the target, and to slightly more than that otherwise. Without this, a
+     * turn could admit many requests whose cost comes later, when they are sent or answered.
+     */
+    private void setRate(double endedPerMilli) {
+        mEndedPerMilli += INTERVAL_WEIGHT * (endedPerMilli - mEndedPerMilli);
+        double factor = RAISING;
+        if (mWindowMinDelayMillis != Long.MAX_VALUE && mWindowMinDelayMillis > mTargetMillis) {
+            double ratio = (double) mTargetMillis / mWindowMinDelayMillis;
+            factor = Math.max(MIN_LOWERING, Math.min(MAX_LOWERING, ratio));
+        }
+        mAdmittedPerMilli = factor * mEndedPerMilli + 1.0 / INTERVAL_MILLIS;
+    }
+
+    private void refillTokens(long nowMillis) {
+        mTokens += (nowMillis - mTokensMillis) * mAdmittedPerMilli;
+        mTokens = Math.min(mTokens, Math.max(1, BURST_MILLIS * mAdmittedPerMilli));
+        mTokensMillis = nowMillis;
+    }
+
     /**
      * Counts a rejection. Its caller is told to retry when the backlog and the callers that were
      * rejected before it will have been served at the rate of the last interval.
      */
     private Rejection reject(Rejection.Cause cause, long nowMillis) {
         mRejected.merge(cause, 1L, Long::sum);
+        mRejectedMillis = nowMillis;
         double backlogEndMillis = nowMillis + delayMillis(nowMillis);
         mDrainedMillis =
                 Math.min(
--- a/magnoliapick-core/src/test/java/org/magnoliapick/overload/AdmissionControlTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/overload/AdmissionControlTest.java
@@ -21,11 +21,11 @@
     private final AdmissionControl mControl = new AdmissionControl();
 
     private static LoopReplay slow(Optional<AdmissionControl> control) {
-        return new LoopReplay(control, SLOW_COST_MILLIS, SLOW_COST_MILLIS / 10, NO_QUOTA);
+        return new LoopReplay(control, SLOW_COST_MILLIS, SLOW_COST_MILLIS / 10, NO_QUOTA, 0.5);
     }
 
     private static LoopReplay throttled(Optional<AdmissionControl> control) {
-        return new LoopReplay(control, FAST_COST_MILLIS, FAST_COST_MILLIS / 10, QUOTA_MILLIS);
+        return new LoopReplay(control, FAST_COST_MILLIS, FAST_COST_MILLIS / 10, QUOTA_MILLIS, 0.5);
     }
 
     /** Replays 5 s at 0.7 of the capacity, 10 s at three times of it, and 5 s as before. */
@@ -75,6 +75,23 @@
         assertServedDuringFlood(flood(throttled(Optional.of(mControl)), 540));
     }
 
+    /**
+     * Guards against a turn that admits many requests whose cost comes later, when their upstreams
+     * are connected or respond.
+     */
+    @Test
+    void aFloodOfRequestsWhoseCostComesLateLeavesAsManyResponsesOnTime() {
+        double cost = SLOW_COST_MILLIS;
+        assertServedDuringFlood(
+                flood(new LoopReplay(Optional.of(mControl), cost, cost / 10, NO_QUOTA, 0.05), 500));
+    }
+
+    /** Guards against a rate that collapses because the effect of an admission is seen late. */
+    @Test
+    void aFloodOfLongStreamsLeavesAsManyOnTime() {
+        assertServedDuringFlood(flood(slow(Optional.of(mControl)).upstreamMillis(2_000), 500));
+    }
+
     /** Guards against a replay whose flood would do no harm. */
     @Test
     void theFloodEndsAllResponsesOnTimeWithoutAdmissionControl() {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/overload/LoopReplay.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/overload/LoopReplay.java
@@ -9,8 +9,8 @@
 
 /**
  * Replays requests in virtual time on one event loop: each turn processes all work that was ready
- * when it began. An admitted request costs half of its processor time when its head is read and
- * half when its upstream has responded.
+ * when it began. An admitted request costs a part of its processor time when its head is read and
+ * the rest when its upstream has responded.
  */
 final class LoopReplay {
     static final long OBJECTIVE_MILLIS = 300;
@@ -31,6 +31,10 @@
     /** Processor time per period of 100 ms, after which nothing runs until the next period. */
     private final double mQuotaMillis;
 
+    /** The part of a request's cost that comes when its head is read. */
+    private final double mHeadShare;
+
+    private double mUpstreamMillis = UPSTREAM_MILLIS;
     private double mNowMillis;
     private double mUsedMillis;
     private long mPeriod;
@@ -41,11 +45,13 @@
             Optional<AdmissionControl> control,
             double costMillis,
             double rejectionCostMillis,
-            double quotaMillis) {
+            double quotaMillis,
+            double headShare) {
         mControl = control;
         mCostMillis = costMillis;
         mRejectionCostMillis = rejectionCostMillis;
         mQuotaMillis = quotaMillis;
+        mHeadShare = headShare;
         control.ifPresent(each -> each.setShortestObjective(OBJECTIVE_MILLIS));
     }
 
@@ -53,6 +59,7 @@
     static final class Work {
         final double mArrivedMillis;
         private double mReadyMillis;
+        private final double mUpstreamMillis;
         private boolean mSent;
 
         /** When the response was relayed; 0 if the request was rejected. */
@@ -60,16 +67,25 @@
 
         Optional<Rejection> mRejection = Optional.empty();
 
-        private Work(double arrivedMillis) {
+        private Work(double arrivedMillis, double upstreamMillis) {
+            mUpstreamMillis = upstreamMillis;
             mArrivedMillis = arrivedMillis;
             mReadyMillis = arrivedMillis;
         }
 
         boolean isOnTime() {
-            return mEndMillis > 0 && mEndMillis - mArrivedMillis <= OBJECTIVE_MILLIS;
+            return mEndMillis > 0
+                    && mEndMillis - mArrivedMillis
+                            <= OBJECTIVE_MILLIS + mUpstreamMillis - UPSTREAM_MILLIS;
         }
     }
 
+    /** Sets how long the upstreams take for the requests that are added from now on. */
+    LoopReplay upstreamMillis(double millis) {
+        mUpstreamMillis = millis;
+        return this;
+    }
+
     /** Adds requests that arrive at random. */
     LoopReplay arrivals(double fromMillis, double toMillis, double perSecond) {
         double at = fromMillis;
@@ -84,7 +100,7 @@
 
     /** Adds a request. */
     void add(double atMillis) {
-        Work work = new Work(atMillis);
+        Work work = new Work(atMillis, mUpstreamMillis);
         mWork.add(work);
         mRequests.add(work);
     }
@@ -130,7 +146,7 @@
 
     private void process(Work work) {
         if (work.mSent) {
-            spend(mCostMillis / 2);
+            spend(mCostMillis * (1 - mHeadShare));
             work.mEndMillis = mNowMillis;
             mInFlight--;
             return;
@@ -147,10 +163,10 @@
             spend(mRejectionCostMillis);
             return;
         }
-        spend(mCostMillis / 2);
+        spend(mCostMillis * mHeadShare);
         mInFlight++;
         work.mSent = true;
-        work.mReadyMillis = mNowMillis + UPSTREAM_MILLIS;
+        work.mReadyMillis = mNowMillis + mUpstreamMillis;
         mWork.add(work);
     }
 
