Pass cold states between instances and return late grants

Only the list told an instance that an upstream is cold, a grant that was delayed could be sent among those of a later second, and nothing was logged.

A dispatcher's part follows the instances of its cell that it heard of in the last 500 ms, not the reports of one pool, since instances without requests of a service report nothing of it. Outdated list entries no longer count as new starts.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/limit/ColdUpstreams.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/limit/ColdUpstreams.java
@@ -21,6 +21,12 @@
     /** The longest time that an upstream may state, in milliseconds; more is no cold state. */
     public static final long MAX_COLD_MILLIS = 3_600_000;
 
+    /**
+     * The maximum time between the decision and the sending of a request to a cold upstream, in
+     * milliseconds: small compared with the second in which its requests are counted.
+     */
+    public static final long MAX_SEND_DELAY_MILLIS = 200;
+
     /**
      * The time by which a later end has to differ to be reported to other instances, in
      * milliseconds, since each renewal of an entry states an end that differs slightly.
@@ -33,6 +39,9 @@
      */
     private static final long MAX_TRANSIT_MILLIS = 1_000;
 
+    /** The offset of an entry whose log was replaced. */
+    private static final long NO_OFFSET = -1;
+
     /** The maximum number of listed incarnations that are kept to recognize later ones. */
     private static final int MAX_LISTED = 16_384;
 
@@ -91,7 +100,7 @@
             long readMillis) {
         Listed known = mListed.get(incarnation.upstream());
         boolean started = known == null || known.startedMillis() != incarnation.startedMillis();
-        if (!started && offset <= known.offset()) {
+        if (known != null && isOutdated(incarnation.startedMillis(), offset, known)) {
             return false;
         }
         mListed.put(incarnation.upstream(), new Listed(incarnation.startedMillis(), offset));
@@ -102,7 +111,17 @@
                 leftMillis.isEmpty()
                         ? OptionalLong.empty()
                         : OptionalLong.of(readMillis + leftMillis.getAsLong());
-        return apply(new ColdStatement(incarnation, service, readMillis, endMillis), "list");
+        return apply(new ColdStatement(incarnation, service, readMillis, endMillis), "list")
+                && mColdMillis.containsKey(service);
+    }
+
+    private static boolean isOutdated(long startedMillis, long offset, Listed known) {
+        if (startedMillis == known.startedMillis()) {
+            return offset <= known.offset();
+        }
+        return known.offset() == NO_OFFSET
+                ? startedMillis < known.startedMillis()
+                : offset < known.offset();
     }
 
     /** Records that the list no longer has an upstream. */
@@ -116,7 +135,7 @@
 
     /** Records that the offsets of the list start anew. */
     public void listRestored() {
-        mListed.replaceAll((id, each) -> new Listed(each.startedMillis(), -1));
+        mListed.replaceAll((id, each) -> new Listed(each.startedMillis(), NO_OFFSET));
     }
 
     /**
@@ -234,6 +253,17 @@
                 : OptionalLong.empty();
     }
 
+    /**
+     * Returns whether a request may be sent some time after it was decided. Requests that are sent
+     * late meet those that were decided later, so together they exceed the rate of a cold upstream.
+     */
+    public boolean mayBeSent(UpstreamIncarnation incarnation, long decidedMillis, long nowMillis) {
+        OptionalLong endMillis = endMillis(incarnation);
+        return nowMillis - decidedMillis <= MAX_SEND_DELAY_MILLIS
+                || endMillis.isEmpty()
+                || endMillis.getAsLong() <= nowMillis;
+    }
+
     /** Removes the states that have ended and notes which began, for the log. */
     public void tick(long nowMillis) {
         for (Entry entry : List.copyOf(mEntries.values())) {
--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/PeerTable.java
@@ -47,6 +47,13 @@
     /** How long after its last message an instance is directly reachable, in milliseconds. */
     private static final long MESSAGE_TIMEOUT_MILLIS = 2_000;
 
+    /**
+     * The time without a message after which an instance may have been cut off and decide by
+     * itself, in milliseconds: several periods of the reports to a dispatcher, some of which may be
+     * lost.
+     */
+    private static final long RECENT_MESSAGE_MILLIS = 500;
+
     /** How long another instance's list of reachable instances is valid, in milliseconds. */
     private static final long REACHABLE_VALID_MILLIS = 6_000;
 
@@ -410,7 +417,23 @@
         double decided =
                 isDispatcher ? mCells.connectedCount(mSelf.domain(), mDirectlyReachable) : 1;
         return new FleetShare(
-                decided / known, isDispatcher, (double) before / known, mPeers.size() + 1);
+                decided / known,
+                isDispatcher,
+                (double) before / known,
+                mPeers.size() + 1,
+                recentCount(nowMillis));
+    }
+
+    /** Returns the number of instances of the own cell with a recent message, self included. */
+    private int recentCount(long nowMillis) {
+        int count = 1;
+        for (String address : mCells.dispatcherOrder(mSelf.domain())) {
+            Peer peer = mPeers.get(address);
+            boolean recent =
+                    peer != null && peer.sinceReceivedMillis(nowMillis) <= RECENT_MESSAGE_MILLIS;
+            count += recent ? 1 : 0;
+        }
+        return count;
     }
 
     /** Returns this instance as other instances know it. */
--- a/magnoliapick-core/src/main/java/org/magnoliapick/member/UpdateSubject.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/member/UpdateSubject.java
@@ -9,7 +9,9 @@
     /** The upstreams that stated that they are leaving. */
     LEAVING(false),
     /** The pauses that upstreams asked the sender for. */
-    PAUSES(false);
+    PAUSES(false),
+    /** The upstreams that are cold. */
+    COLD(false);
 
     private final boolean mKnownToAll;
 
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PendingQueries.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PendingQueries.java
@@ -38,9 +38,19 @@
         PendingQuery query = mQueries.get(queryId);
         if (query != null) {
             query.mLastReplyMillis = nowMillis;
+            query.mUndecidedMillis = query.mSentMillis;
         }
     }
 
+    /**
+     * Returns the maximum age of a decision that is received now, in milliseconds: the time since
+     * the last query was sent to which the dispatcher replied that it had not decided.
+     */
+    public long decisionAgeMillis(long queryId, long nowMillis) {
+        PendingQuery query = mQueries.get(queryId);
+        return query == null ? 0 : nowMillis - query.mUndecidedMillis;
+    }
+
     /**
      * Removes a query that a dispatcher decided; returns its request unless the query is no longer
      * pending at that dispatcher.
@@ -87,6 +97,9 @@
                 mQueries.remove(query.mJob.queryId());
                 undecided.add(query.mJob);
             } else if (dispatcherChanged || nowMillis - query.mSentMillis >= query.retryMillis()) {
+                if (dispatcherChanged) {
+                    query.mUndecidedMillis = nowMillis;
+                }
                 query.mDispatcher = dispatcher.get();
                 query.mSentMillis = nowMillis;
                 messages.add(new PoolMessage.Query(query.mDispatcher, query.mJob));
@@ -111,11 +124,15 @@
         private long mSentMillis;
         private long mLastReplyMillis;
 
+        /** When the last query was sent that is known to have been undecided then. */
+        private long mUndecidedMillis;
+
         private PendingQuery(PoolJob job, InstanceId dispatcher, long nowMillis) {
             mJob = job;
             mDispatcher = dispatcher;
             mCreatedMillis = nowMillis;
             mSentMillis = nowMillis;
+            mUndecidedMillis = nowMillis;
             // The first reply is due after TIMEOUT_MILLIS, without the time for a queued request.
             mLastReplyMillis = nowMillis - QUEUED_RETRY_MILLIS;
         }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
-import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.limit.ColdBounds;
 import org.magnoliapick.limit.RateLimits;
@@ -28,7 +27,6 @@
     private final RateLimits mRateLimits;
 
     private final ColdBounds mColdBounds;
-    private final ColdShares mColdShares = new ColdShares();
     private Optional<ColdSpec> mColdSpec = Optional.empty();
 
     /** The change count of the rate limits that the loads have. */
@@ -73,7 +71,6 @@
     void setShare(FleetShare share, long nowMillis) {
         if (!share.equals(mShare)) {
             mShare = share;
-            mColdShares.setFleetShare(share);
             applyRateLimits(nowMillis);
         }
     }
@@ -83,22 +80,9 @@
         return mShare.dispatcher();
     }
 
-    /**
-     * Records that another instance reported its use.
-     *
-     * @param aggregate whether it reports for all instances for which it decides
-     */
-    void reportReceived(InstanceId instance, boolean aggregate, long nowMillis) {
-        if (!aggregate) {
-            mColdShares.reportReceived(instance, nowMillis);
-        }
-        refreshRateLimits(nowMillis);
-    }
-
     /** Applies the rate limits if any has changed. */
     void refreshRateLimits(long nowMillis) {
-        boolean shareChanged = mColdSpec.isPresent() && mColdShares.update(nowMillis);
-        if (shareChanged || mRateLimitChanges != changeCount()) {
+        if (mRateLimitChanges != changeCount()) {
             applyRateLimits(nowMillis);
         }
     }
@@ -113,7 +97,6 @@
      */
     private void applyRateLimits(long nowMillis) {
         mRateLimitChanges = changeCount();
-        mColdShares.update(nowMillis);
         Set<UpstreamId> unlimited = new HashSet<>();
         mLoads.forEach(
                 (id, load) -> {
@@ -123,7 +106,7 @@
                     load.rate()
                             .setCold(
                                     mRateLimits.cold().endMillis(load.upstream().incarnation()),
-                                    mColdShares.share(id),
+                                    ColdShares.of(mShare, id),
                                     nowMillis);
                     if (limit.isEmpty()) {
                         unlimited.add(id);
@@ -137,6 +120,12 @@
         return Optional.ofNullable(mLoads.get(upstream));
     }
 
+    /** Returns the load of an upstream with its current limits; empty if it is not listed. */
+    Optional<UpstreamLoad> findCurrent(UpstreamId upstream, long nowMillis) {
+        refreshRateLimits(nowMillis);
+        return find(upstream);
+    }
+
     /** Returns the loads of all upstreams. */
     Collection<UpstreamLoad> all() {
         return Collections.unmodifiableCollection(mLoads.values());
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -101,7 +101,7 @@
 
     /** Applies another instance's report of its use. */
     public void updatePeer(InstanceId instance, PoolUse use, long nowMillis) {
-        mLoads.reportReceived(instance, use.aggregate(), nowMillis);
+        mLoads.refreshRateLimits(nowMillis);
         Map<UpstreamId, UpstreamUse> uses = new HashMap<>();
         use.uses().forEach(each -> uses.put(each.upstream(), each));
         for (UpstreamLoad load : mLoads.all()) {
@@ -179,11 +179,13 @@
 
     /**
      * Starts a request of this instance as a dispatcher granted it; returns empty if the upstream
-     * is not listed here or wants no requests of this instance at present.
+     * is not listed here or wants no requests of this instance, or the grant is too old for it.
      */
-    public Optional<Ticket> startGranted(PoolJob job, PoolDecision.Start start, long nowMillis) {
-        return mLoads.find(start.upstream())
+    public Optional<Ticket> startGranted(
+            PoolJob job, PoolDecision.Start start, long ageMillis, long nowMillis) {
+        return mLoads.findCurrent(start.upstream(), nowMillis)
                 .filter(load -> !mPauses.isPaused(job, load, nowMillis))
+                .filter(load -> load.rate().mayBeSent(ageMillis, nowMillis))
                 .map(
                         load -> {
                             Ticket ticket = Ticket.ofGrant(load.upstream(), job, start, nowMillis);
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServicePool.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/ServicePool.java
@@ -141,6 +141,7 @@
             mQueries.acknowledge(queued.queryId(), nowMillis);
             return List.of();
         }
+        long ageMillis = mQueries.decisionAgeMillis(decision.queryId(), nowMillis);
         Optional<PoolJob> job = mQueries.remove(decision.queryId(), dispatcher);
         if (decision instanceof PoolDecision.Start start) {
             boolean repeated = mHighestGrants.getOrDefault(dispatcher, 0L) >= start.grant();
@@ -157,9 +158,10 @@
                     new PoolAction.Refuse(job.get(), refuse.retryAfterMillis(), refuse.cause()));
         }
         PoolDecision.Start start = (PoolDecision.Start) decision;
-        Optional<Ticket> ticket = mScheduler.startGranted(job.get(), start, nowMillis);
+        Optional<Ticket> ticket = mScheduler.startGranted(job.get(), start, ageMillis, nowMillis);
         if (ticket.isEmpty()) {
-            // The dispatcher chose an upstream that is not, or no longer, listed here.
+            // The dispatcher chose an upstream that is not, or no longer, listed here, or its
+            // grant for a cold one arrived late.
             mOutbox.add(new PoolMessage.Withdrawal(dispatcher, mService, start.queryId()));
             return localActions(mScheduler.submit(job.get(), nowMillis));
         }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamNotices.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamNotices.java
@@ -1,6 +1,7 @@
 package org.magnoliapick.pool;
 
 import java.util.Optional;
+import org.magnoliapick.limit.ColdUpdate;
 import org.magnoliapick.limit.PauseUpdate;
 
 /**
@@ -8,9 +9,11 @@
  *
  * @param leaving the leaving upstreams that the receiver does not know of
  * @param pauses the pauses that upstreams asked the sender for, if the receiver decides for it
+ * @param cold the cold upstreams that the receiver does not know of
  */
-public record UpstreamNotices(Optional<LeavingUpdate> leaving, Optional<PauseUpdate> pauses) {
+public record UpstreamNotices(
+        Optional<LeavingUpdate> leaving, Optional<PauseUpdate> pauses, Optional<ColdUpdate> cold) {
     /** Nothing that the receiver lacks. */
     public static final UpstreamNotices NONE =
-            new UpstreamNotices(Optional.empty(), Optional.empty());
+            new UpstreamNotices(Optional.empty(), Optional.empty(), Optional.empty());
 }
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamRate.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamRate.java
@@ -10,6 +10,7 @@
 import org.magnoliapick.limit.ColdBounds;
 import org.magnoliapick.limit.ColdRate;
 import org.magnoliapick.limit.ColdShare;
+import org.magnoliapick.limit.ColdUpstreams;
 import org.magnoliapick.limit.RecentStarts;
 import org.magnoliapick.limit.TokenBucket;
 import org.magnoliapick.route.ColdSpec;
@@ -131,6 +132,11 @@
         return waitMillis(nowMillis) == 0;
     }
 
+    /** Returns whether a request may be sent that was decided some time ago. */
+    boolean mayBeSent(long ageMillis, long nowMillis) {
+        return !isCold(nowMillis) || ageMillis <= ColdUpstreams.MAX_SEND_DELAY_MILLIS;
+    }
+
     /** Records the decision to send a request. */
     void takeToken(long nowMillis) {
         mBucket.ifPresent(bucket -> bucket.take(1, nowMillis));
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/ColdUpstreamTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/ColdUpstreamTest.java
@@ -4,11 +4,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.magnoliapick.route.ColdSpec;
 import org.magnoliapick.route.ServiceSpec;
 
 /**
@@ -152,12 +150,7 @@
     }
 
     private static FakeFleet fleet(int instances, int cellSize, int engines, long seed) {
-        ServiceSpec service =
-                new ServiceSpec(
-                        Jobs.ENGINES.name(),
-                        Jobs.ENGINES.maxConnections(),
-                        Jobs.ENGINES.engine(),
-                        Optional.of(new ColdSpec(COLD_MILLIS, PER_SECOND)));
+        ServiceSpec service = Jobs.coldService(COLD_MILLIS, PER_SECOND);
         return new FakeFleet(instances, cellSize, engines, seed, service, NOTICE_MILLIS);
     }
 
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
@@ -269,7 +269,9 @@
             int known = mInstances.size();
             boolean decides = dispatcher().isEmpty();
             double decided = decides ? mNetwork.reachableFrom(mNumber, known) : 1;
-            return new FleetShare(decided / known, decides, (double) mNumber / known, known);
+            int recent = 1 + mNetwork.recentSenders(mNumber, mCellSize);
+            return new FleetShare(
+                    decided / known, decides, (double) mNumber / known, known, recent);
         }
 
         private void tick() {
@@ -307,6 +309,7 @@
             if (!mNetwork.connects(mNumber, to.mNumber) || mRandom.nextInt(10) == 0) {
                 return;
             }
+            mNetwork.reported(mNumber, to.mNumber);
             mKnowledge.sendTo(to.mKnowledge, mId.value(), mTime.nowMillis());
             if (!to.mKnowledge.leaving().takeChanges().isEmpty()) {
                 to.listEngines();
@@ -338,14 +341,10 @@
         }
 
         private void deliver(PoolMessage message) {
-            Instance to =
-                    mInstances.stream()
-                            .filter(each -> each.mId.equals(message.to()))
-                            .findFirst()
-                            .orElseThrow();
-            if (mNetwork.connects(mNumber, to.mNumber)) {
-                to.receive(mId, message);
-            }
+            mInstances.stream()
+                    .filter(to -> to.mId.equals(message.to()))
+                    .filter(to -> mNetwork.connects(mNumber, to.mNumber))
+                    .forEach(to -> to.receive(mId, message));
         }
 
         private void receive(InstanceId from, PoolMessage message) {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeNetwork.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeNetwork.java
@@ -1,6 +1,8 @@
 package org.magnoliapick.pool;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 
@@ -23,6 +25,9 @@
     /** The numbers of the instances of which the others noticed it. */
     private final Set<Integer> mMissed = new HashSet<>();
 
+    /** When instances received a report, by receiver and sender. */
+    private final Map<Integer, Map<Integer, Long>> mReportedMillis = new HashMap<>();
+
     private boolean mUnreliable;
 
     FakeNetwork(VirtualTime time, Random random, long noticeMillis) {
@@ -66,6 +71,20 @@
         return mMissed.contains(instance) ? 1 : instances - mMissed.size();
     }
 
+    /** Records that a report arrived. */
+    void reported(int from, int to) {
+        mReportedMillis.computeIfAbsent(to, each -> new HashMap<>()).put(from, mTime.nowMillis());
+    }
+
+    /** Returns how many others of its cell reported to an instance in the last half second. */
+    int recentSenders(int instance, int cellSize) {
+        return (int)
+                mReportedMillis.getOrDefault(instance, Map.of()).entrySet().stream()
+                        .filter(each -> each.getKey() / cellSize == instance / cellSize)
+                        .filter(each -> mTime.nowMillis() - each.getValue() <= 500)
+                        .count();
+    }
+
     /** Delivers a message after the time that it takes; several times or never if unreliable. */
     void send(Runnable deliver) {
         if (!mUnreliable) {
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/Jobs.java
@@ -17,6 +17,7 @@
 import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.relay.RelayRequest;
 import org.magnoliapick.relay.Requests;
+import org.magnoliapick.route.ColdSpec;
 import org.magnoliapick.route.EngineSpec;
 import org.magnoliapick.route.RouteKind;
 import org.magnoliapick.route.ServiceSpec;
@@ -29,6 +30,15 @@
 
     private Jobs() {}
 
+    /** Returns the service with a cold state. */
+    static ServiceSpec coldService(long coldMillis, double perSecond) {
+        return new ServiceSpec(
+                ENGINES.name(),
+                ENGINES.maxConnections(),
+                ENGINES.engine(),
+                Optional.of(new ColdSpec(coldMillis, perSecond)));
+    }
+
     static ListedUpstream upstream(String name) {
         return new ListedUpstream(new UpstreamId(name), "s", "10.0.0.1:80", DOMAIN, 10, false, 1);
     }
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolSchedulerTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/PoolSchedulerTest.java
@@ -222,7 +222,7 @@
     @Test
     void usesIdleUpstreamsThoughLessServedWorkspacesWaitElsewhereUnlessItIsTheDispatcher() {
         PoolScheduler pool = Jobs.scheduler("u");
-        pool.setShare(new FleetShare(0.5, false, 0, 2), 0);
+        pool.setShare(new FleetShare(0.5, false, 0, 2, 1), 0);
         serveMore(pool, "large");
         pool.updatePeer(new InstanceId("other"), useOfOthers(0, false), 1);
         assertThat(pool.submit(Jobs.job(2, "large", "p", 1_000, 2), 2)).hasSize(1);
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/ServicePoolTest.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/ServicePoolTest.java
@@ -9,6 +9,7 @@
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.limit.UpstreamPauses;
 
 /**
@@ -222,4 +223,27 @@
     private static Map<WorkspaceId, Long> servedTokens(ServicePool pool, long nowMillis) {
         return pool.scheduler().ownUse(nowMillis).servedTokens();
     }
+
+    /** Guards against requests that meet those which were granted while they were delayed. */
+    @Test
+    void returnsAGrantForAColdUpstreamThatArrivesLate() {
+        RateLimits limits = new RateLimits();
+        PoolScheduler scheduler = Jobs.scheduler(limits, "u");
+        ServicePool requester = new ServicePool("s", scheduler);
+        scheduler.configure(Jobs.coldService(3_000, 12));
+        limits.cold().configure(Map.of("s", 3_000L));
+        limits.cold().recordResponse(Jobs.upstream("u").incarnation(), "s", 3_000, "r", 0, 0);
+        PoolDecision.Start start =
+                new PoolDecision.Start(1, 1, new UpstreamId("u"), 100, 0, PoolCause.ROOM);
+        requester.submit(Jobs.job(1, "w", "p", 100, 0), Optional.of(DISPATCHER), 0);
+        requester.receiveDecision(DISPATCHER, new PoolDecision.Queued(1), 2);
+        requester.takeOutbox();
+        assertThat(requester.receiveDecision(DISPATCHER, start, 250)).isEmpty();
+        assertThat(requester.takeOutbox())
+                .containsExactly(new PoolMessage.Withdrawal(DISPATCHER, "s", 1));
+        PoolDecision.Start later =
+                new PoolDecision.Start(2, 2, new UpstreamId("u"), 100, 0, PoolCause.ROOM);
+        requester.submit(Jobs.job(2, "w", "p", 100, 300), Optional.of(DISPATCHER), 300);
+        assertThat(requester.receiveDecision(DISPATCHER, later, 350)).hasSize(1);
+    }
 }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/ResponseHead.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/ResponseHead.java
@@ -15,6 +15,7 @@
  * @param leaving whether the upstream states that it is leaving
  * @param pauseMillis how long the upstream, which refuses the request, wants no others of this
  *     instance, in milliseconds
+ * @param coldLeftMillis how much longer the upstream is cold, if it states that, in milliseconds
  */
 public record ResponseHead(
         Optional<String> id,
@@ -22,4 +23,16 @@
         boolean signed,
         OptionalDouble rateLimit,
         boolean leaving,
-        OptionalLong pauseMillis) {}
+        OptionalLong pauseMillis,
+        OptionalLong coldLeftMillis) {
+    /** Creates a head that does not state whether the upstream is cold. */
+    public ResponseHead(
+            Optional<String> id,
+            boolean notRun,
+            boolean signed,
+            OptionalDouble rateLimit,
+            boolean leaving,
+            OptionalLong pauseMillis) {
+        this(id, notRun, signed, rateLimit, leaving, pauseMillis, OptionalLong.empty());
+    }
+}
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/NoticeExchange.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/peer/NoticeExchange.java
@@ -28,7 +28,9 @@
                 // Only instances that may decide for this one need its pauses.
                 exchange(target.address(), UpdateSubject.PAUSES)
                         .filter(each -> target.content() == PendingReport.Content.OWN_USE)
-                        .flatMap(each -> each.toSend(mPools.pauses()::updateFor, nowMillis)));
+                        .flatMap(each -> each.toSend(mPools.pauses()::updateFor, nowMillis)),
+                exchange(target.address(), UpdateSubject.COLD)
+                        .flatMap(each -> each.toSend(mPools.cold()::updateFor, nowMillis)));
     }
 
     /** Applies what another instance sent. */
@@ -41,6 +43,14 @@
                             exchange(packet.address(), UpdateSubject.LEAVING)
                                     .ifPresent(each -> each.received(update.version()));
                         });
+        packet.notices()
+                .cold()
+                .ifPresent(
+                        update -> {
+                            mPools.cold().applyUpdate(update, packet.from().value(), nowMillis);
+                            exchange(packet.address(), UpdateSubject.COLD)
+                                    .ifPresent(each -> each.received(update.version()));
+                        });
         packet.report()
                 .map(InstanceReport::startedMillis)
                 .ifPresent(started -> receivePauses(packet, started, nowMillis));
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -15,6 +15,7 @@
 import org.magnoliapick.gateway.internal.log.EventLog;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.UpstreamId;
+import org.magnoliapick.limit.ColdUpstreams;
 import org.magnoliapick.limit.RateLimits;
 import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.pool.FleetShare;
@@ -168,9 +169,39 @@
         }
     }
 
-    /** Returns whether a request that was placed at an upstream may still be sent there. */
-    boolean mayBeSent(ListedUpstream upstream, long nowMillis) {
+    /** Returns the upstreams that are cold. */
+    public ColdUpstreams cold() {
+        return mRateLimits.cold();
+    }
+
+    /** Records how much longer an upstream is cold, as its response stated. */
+    void recordCold(
+            ListedUpstream upstream,
+            long leftMillis,
+            String request,
+            long sentMillis,
+            long nowMillis) {
+        long changes = cold().changeCount();
+        cold().recordResponse(
+                        upstream.incarnation(),
+                        upstream.service(),
+                        leftMillis,
+                        request,
+                        sentMillis,
+                        nowMillis);
+        if (cold().changeCount() != changes) {
+            rateLimitChanged();
+        }
+    }
+
+    /**
+     * Returns whether a request that was placed at an upstream may still be sent there.
+     *
+     * @param placedMillis when it was placed
+     */
+    boolean mayBeSent(ListedUpstream upstream, long placedMillis, long nowMillis) {
         return mDirectory.isUsable(upstream)
+                && cold().mayBeSent(upstream.incarnation(), placedMillis, nowMillis)
                 && mPauses.remainingMillis(Optional.empty(), upstream.incarnation(), nowMillis)
                         == 0;
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Relay.java
@@ -226,7 +226,7 @@
 
     /** Returns whether the request may still be sent to the upstream that the pool chose. */
     boolean mayBeSent(ListedUpstream upstream) {
-        return mPools.mayBeSent(upstream, mContext.nowMillis());
+        return mPools.mayBeSent(upstream, mTicket.startedMillis(), mContext.nowMillis());
     }
 
     /** Has another upstream chosen, because the first no longer takes requests. */
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamCall.java
@@ -166,7 +166,8 @@
             return false;
         }
         recordRateLimit(head, parsedHead);
-        mRelay.statements().record(mUpstream, head.status(), parsedHead, mRequest.id());
+        mRelay.statements()
+                .record(mUpstream, head.status(), parsedHead, mRequest.id(), mSentMillis);
         mResponse = head;
         mParsedHead = parsedHead;
         boolean success = isSuccess(head.status()) && parsedHead.signed() && !parsedHead.notRun();
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamStatements.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/UpstreamStatements.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.magnoliapick.gateway.ResponseHead;
 import org.magnoliapick.lib.UpstreamIncarnation;
+import org.magnoliapick.limit.ColdChange;
 import org.magnoliapick.limit.PauseChange;
 import org.magnoliapick.pool.LeavingChange;
 import org.magnoliapick.pool.ListedUpstream;
@@ -22,9 +23,14 @@
      * assigned the upstream's address, or a response to another attempt.
      *
      * @param request the request of the attempt
+     * @param sentMillis when it was sent
      */
     void record(
-            ListedUpstream upstream, HttpResponseStatus status, ResponseHead head, String request) {
+            ListedUpstream upstream,
+            HttpResponseStatus status,
+            ResponseHead head,
+            String request,
+            long sentMillis) {
         if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)
                 || head.id().filter(each -> !each.equals(request)).isPresent()) {
             return;
@@ -32,6 +38,15 @@
         if (head.leaving()) {
             mPools.recordLeaving(upstream, request, mContext.nowMillis());
         }
+        head.coldLeftMillis()
+                .ifPresent(
+                        millis ->
+                                mPools.recordCold(
+                                        upstream,
+                                        millis,
+                                        request,
+                                        sentMillis,
+                                        mContext.nowMillis()));
         head.pauseMillis()
                 .ifPresent(
                         millis ->
@@ -56,6 +71,16 @@
                     .with("forMillis", Math.max(0, change.pause().endMillis() - nowMillis))
                     .log();
         }
+        mPools.cold().tick(nowMillis);
+        for (ColdChange change : mPools.cold().takeChanges()) {
+            mContext.log()
+                    .line(change.logName())
+                    .with("upstream", change.incarnation().upstream())
+                    .with("startedMillis", change.incarnation().startedMillis())
+                    .with("evidence", change.evidence())
+                    .with("forMillis", change.forMillis())
+                    .log();
+        }
         for (LeavingChange change : mPools.leaving().takeChanges()) {
             mContext.log()
                     .line(change.logName())
@@ -71,6 +96,8 @@
     public void writeMetrics(StringBuilder text) {
         RelayCounters.appendMetric(
                 text, "magnoliapick_upstreams_leaving", mPools.leaving().count());
+        RelayCounters.appendMetric(
+                text, "magnoliapick_upstreams_cold", mPools.cold().coldCount(mContext.nowMillis()));
         RelayCounters.appendMetric(
                 text, "magnoliapick_upstreams_paused", mContext.pauses().count());
     }
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/NoticeCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/NoticeCodec.java
@@ -3,13 +3,18 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.UpstreamIncarnation;
+import org.magnoliapick.limit.ColdStatement;
+import org.magnoliapick.limit.ColdUpdate;
 import org.magnoliapick.limit.PauseUpdate;
 import org.magnoliapick.limit.UpstreamPause;
 import org.magnoliapick.pool.LeavingUpdate;
 import org.magnoliapick.pool.LeavingUpstream;
 import org.magnoliapick.pool.UpstreamNotices;
+import org.magnoliapick.rpc.gen.UseCold;
+import org.magnoliapick.rpc.gen.UseColdUpstream;
 import org.magnoliapick.rpc.gen.UseLeaving;
 import org.magnoliapick.rpc.gen.UseLeavingUpstream;
 import org.magnoliapick.rpc.gen.UsePacket;
@@ -23,6 +28,7 @@
     static void write(UpstreamNotices notices, UsePacket message, long nowMillis) {
         notices.leaving().ifPresent(each -> message.setLeaving(leaving(each, nowMillis)));
         notices.pauses().ifPresent(each -> message.setPauses(pauses(each, nowMillis)));
+        notices.cold().ifPresent(each -> message.setCold(cold(each, nowMillis)));
     }
 
     static UpstreamNotices read(UsePacket message, long nowMillis) {
@@ -32,6 +38,9 @@
                         : Optional.empty(),
                 message.isSetPauses()
                         ? Optional.of(pauses(message.getPauses(), nowMillis))
+                        : Optional.empty(),
+                message.isSetCold()
+                        ? Optional.of(cold(message.getCold(), nowMillis))
                         : Optional.empty());
     }
 
@@ -72,6 +81,38 @@
         return new PauseUpdate(message.getVersion(), pauses);
     }
 
+    private static UseCold cold(ColdUpdate update, long nowMillis) {
+        UseCold message = new UseCold(update.version());
+        for (ColdStatement each : update.statements()) {
+            UseColdUpstream upstream =
+                    new UseColdUpstream(
+                            each.incarnation().upstream().value(),
+                            each.incarnation().startedMillis(),
+                            each.service(),
+                            nowMillis - each.seenMillis());
+            each.endMillis().ifPresent(end -> upstream.setLeftMillis(end - nowMillis));
+            message.addToUpstreams(upstream);
+        }
+        return message;
+    }
+
+    private static ColdUpdate cold(UseCold message, long nowMillis) {
+        List<ColdStatement> statements = new ArrayList<>();
+        if (message.isSetUpstreams()) {
+            for (UseColdUpstream each : message.getUpstreams()) {
+                statements.add(
+                        new ColdStatement(
+                                incarnation(each.getUpstream(), each.getStartedMillis()),
+                                each.getServiceName(),
+                                nowMillis - each.getAgeMillis(),
+                                each.isSetLeftMillis()
+                                        ? OptionalLong.of(nowMillis + each.getLeftMillis())
+                                        : OptionalLong.empty()));
+            }
+        }
+        return new ColdUpdate(message.getVersion(), statements);
+    }
+
     private static UpstreamIncarnation incarnation(String upstream, long startedMillis) {
         return new UpstreamIncarnation(new UpstreamId(upstream), startedMillis);
     }
--- a/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
+++ b/magnoliapick-rpc/src/main/java/org/magnoliapick/rpc/UseCodec.java
@@ -62,6 +62,7 @@
         message.setLimitsVersion(versions.getOrDefault(UpdateSubject.RATE_LIMITS, 0L));
         message.setLeavingVersion(versions.getOrDefault(UpdateSubject.LEAVING, 0L));
         message.setPausesVersion(versions.getOrDefault(UpdateSubject.PAUSES, 0L));
+        message.setColdVersion(versions.getOrDefault(UpdateSubject.COLD, 0L));
     }
 
     private static Map<UpdateSubject, Long> knownVersions(UseReport message) {
@@ -78,6 +79,9 @@
         if (message.isSetPausesVersion()) {
             versions.put(UpdateSubject.PAUSES, message.getPausesVersion());
         }
+        if (message.isSetColdVersion()) {
+            versions.put(UpdateSubject.COLD, message.getColdVersion());
+        }
         return versions;
     }
 
--- a/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -18,6 +18,8 @@
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.lib.UpstreamIncarnation;
 import org.magnoliapick.lib.WorkspaceId;
+import org.magnoliapick.limit.ColdStatement;
+import org.magnoliapick.limit.ColdUpdate;
 import org.magnoliapick.limit.PauseUpdate;
 import org.magnoliapick.limit.RateLimit;
 import org.magnoliapick.limit.RateLimitUpdate;
@@ -116,7 +118,21 @@
                                         new LeavingUpstream(incarnation("v", 13), 800)))),
                 Optional.of(
                         new PauseUpdate(
-                                21, List.of(new UpstreamPause(incarnation("u", 12), 3_000)))));
+                                21, List.of(new UpstreamPause(incarnation("u", 12), 3_000)))),
+                Optional.of(
+                        new ColdUpdate(
+                                23,
+                                List.of(
+                                        new ColdStatement(
+                                                incarnation("u", 12),
+                                                "s",
+                                                900,
+                                                OptionalLong.of(2_500)),
+                                        new ColdStatement(
+                                                incarnation("v", 13),
+                                                "s",
+                                                800,
+                                                OptionalLong.empty())))));
     }
 
     private static InstancePacket packet() {
@@ -152,7 +168,9 @@
                                         UpdateSubject.LEAVING,
                                         18L,
                                         UpdateSubject.PAUSES,
-                                        20L),
+                                        20L,
+                                        UpdateSubject.COLD,
+                                        22L),
                                 List.of(member))),
                 Map.of("s", 8L),
                 Optional.of(new StoreUpdate(2, 6, 9, 20, List.of(put, dropped), 3, 400)),
