Make the time of a placement visible to the gateway

The gateway module did not compile: it reads when a request was placed, which was private to the pool. The test of packets without notices also removes the cold states, as an instance of a former build would.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Ticket.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Ticket.java
@@ -54,7 +54,8 @@
         return mMemoryTokens;
     }
 
-    long startedMillis() {
+    /** Returns when the request was placed. */
+    public long startedMillis() {
         return mStartedMillis;
     }
 
--- a/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
+++ b/magnoliapick-rpc/src/test/java/org/magnoliapick/rpc/UsePacketCodecTest.java
@@ -203,8 +203,10 @@
         UsePacket message = bytes.read(new UsePacket(), UsePacketCodec.encode(packet(), 1_000));
         message.unsetLeaving();
         message.unsetPauses();
+        message.unsetCold();
         message.getReport().unsetLeavingVersion();
         message.getReport().unsetPausesVersion();
+        message.getReport().unsetColdVersion();
         InstancePacket read = UsePacketCodec.decode(bytes.write(message), TO, 1_000).orElseThrow();
         assertThat(read.notices()).isEqualTo(UpstreamNotices.NONE);
         assertThat(read.report().orElseThrow().knownVersions())
