Place long prompts differently from short ones

Cause: one bound of the prefill backlog admits prompts of any length.

Change: PromptClasses limits the engines with long prefill to those that short prompts do not need, for a bounded time, prefers engines with few running requests for long ones, and gives long prompts a floor within the order of the workspaces. Load line and metric show the classes.

--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
@@ -1,5 +1,6 @@
 package org.magnoliapick.pool;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -11,6 +12,7 @@
 import java.util.Set;
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.route.EngineSpec;
 
@@ -106,6 +108,26 @@
         return mPreferred.preferred(parts);
     }
 
+    /** Returns upstreams as candidates for a request. */
+    List<Candidate> candidates(PoolJob job, Collection<UpstreamLoad> loads) {
+        Prompt prompt = job.prompt();
+        Optional<UpstreamId> preferred = preferred(prompt.parts());
+        List<Candidate> candidates = new ArrayList<>(loads.size());
+        for (UpstreamLoad load : loads) {
+            boolean isPreferred = preferred.filter(load.upstream().id()::equals).isPresent();
+            candidates.add(new Candidate(job, load, load.newTokens(prompt, isPreferred)));
+        }
+        return candidates;
+    }
+
+    /** Returns why a request that waits too long could not be started. */
+    PoolCause lateCause() {
+        if (mLoads.isEmpty()) {
+            return PoolCause.NO_UPSTREAM;
+        }
+        return isRateLimited() ? PoolCause.RATE_LIMITED : PoolCause.TOO_LATE;
+    }
+
     /** Returns whether there are upstreams and all of them are rate-limited. */
     boolean isRateLimited() {
         return !mLoads.isEmpty()
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLogFormat.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLogFormat.java
@@ -31,6 +31,19 @@
                 .collect(Collectors.joining(" "));
     }
 
+    /**
+     * Returns the number of engines that prefill long prompts, and how many requests with long and
+     * with short prompts wait.
+     */
+    static String classes(int longPrefills, int waitingLong, int waitingShort) {
+        return String.format(
+                Locale.ROOT,
+                "longPrefills:%d waitingLong:%d waitingShort:%d ",
+                longPrefills,
+                waitingLong,
+                waitingShort);
+    }
+
     /**
      * Returns for the workspaces with the most waiting requests the number of these and the tokens
      * that the workspace was served.
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolScheduler.java
@@ -1,7 +1,6 @@
 package org.magnoliapick.pool;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -15,7 +14,6 @@
 import org.magnoliapick.limit.UpstreamPauses;
 import org.magnoliapick.quarantine.PromptQuarantine;
 import org.magnoliapick.quarantine.Quarantine;
-import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.request.AttemptEnd;
 import org.magnoliapick.route.EngineSpec;
 import org.magnoliapick.route.ServiceSpec;
@@ -46,7 +44,8 @@
     private final ServedTokens mServed;
     private final PoolLoads mLoads;
     private final PoolPauses mPauses;
-    private final WaitingJobs mWaiting = new WaitingJobs();
+    private final PromptClasses mClasses;
+    private final WaitingJobs mWaiting;
     private final PeerQueues mPeerQueues = new PeerQueues();
     private final Refusals mRefusals;
     private final PromptQuarantine mQuarantine;
@@ -71,10 +70,12 @@
         mService = service;
         mSettings = settings;
         mQuarantine = quarantine;
+        mClasses = new PromptClasses(settings.promptClasses());
+        mWaiting = new WaitingJobs();
         mLoads = new PoolLoads(rateLimits);
         mPauses = new PoolPauses(pauses, mLoads);
         mServed = new ServedTokens(settings.shareWindowMillis());
-        mRefusals = new Refusals(settings, mWaiting, mServed, mPeerQueues);
+        mRefusals = new Refusals(settings, mWaiting, mServed, mPeerQueues, mClasses);
     }
 
     /** Applies the current configuration of the service. */
@@ -171,7 +172,8 @@
             }
         }
         long newTokens = hasEngines() ? fewestNewTokens(cacheCandidates(job, nowMillis)) : 0;
-        mWaiting.add(job, newTokens, nowMillis);
+        boolean isLong = mClasses.recordArrival(job, newTokens, mLoads.all(), nowMillis);
+        mWaiting.add(job, newTokens, isLong, nowMillis);
         return tick(nowMillis);
     }
 
@@ -208,10 +210,16 @@
 
     /**
      * Returns for each upstream the running requests, the tokens left to prefill and the prefill
-     * speed in tokens per millisecond.
+     * speed in tokens per millisecond, after the state of the classes if prompts have any.
      */
     public String describeLoad(long nowMillis) {
-        return PoolLogFormat.load(mLoads.all(), nowMillis);
+        return mClasses.describe(mLoads.all(), mWaiting, nowMillis)
+                + PoolLogFormat.load(mLoads.all(), nowMillis);
+    }
+
+    /** Returns the number of engines that prefill long prompts; 0 if prompts have no classes. */
+    public int longPrefills(long nowMillis) {
+        return mClasses.longPrefills(mLoads.all(), nowMillis);
     }
 
     /**
@@ -307,7 +315,7 @@
         }
         actions.addAll(
                 mRefusals.refuseLate(
-                        lateCause(),
+                        mLoads.lateCause(),
                         mAllLeaving,
                         job -> firstEventMillis(job, nowMillis),
                         throughput(nowMillis),
@@ -315,14 +323,6 @@
         return actions;
     }
 
-    /** Returns why a request that waits too long could not be started. */
-    private PoolCause lateCause() {
-        if (mLoads.all().isEmpty()) {
-            return PoolCause.NO_UPSTREAM;
-        }
-        return mLoads.isRateLimited() ? PoolCause.RATE_LIMITED : PoolCause.TOO_LATE;
-    }
-
     private boolean startNext(List<PoolAction> actions, long nowMillis) {
         List<UpstreamLoad> withRoom =
                 mLoads.all().stream().filter(each -> hasRoom(each, nowMillis)).toList();
@@ -330,9 +330,11 @@
             return false;
         }
         int skipped = 0;
+        PromptClasses.Limit limit = mClasses.limit(mLoads.all(), nowMillis);
         double servedLimit = mPeerQueues.servedLimitTokens(nowMillis);
         double currentServedLimit = mPeerQueues.currentServedLimitTokens(nowMillis);
-        Iterator<WaitingJob> order = mWaiting.order(mServed, nowMillis);
+        Iterator<WaitingJob> order =
+                mWaiting.order(mServed, mClasses.isLongFirst(nowMillis), nowMillis);
         while (order.hasNext() && skipped <= MAX_SKIPPED_JOBS) {
             WaitingJob entry = order.next();
             PoolJob job = entry.job();
@@ -347,9 +349,11 @@
             }
             // Periodic reports may be outdated: by these, a request still gets an idle upstream,
             // since the other instances would have used it if they had requests waiting.
-            Optional<PoolAction> action = place(entry, withRoom, served <= servedLimit, nowMillis);
+            Optional<PoolAction> action =
+                    place(entry, withRoom, limit, served <= servedLimit, nowMillis);
             if (action.isPresent()) {
                 mWaiting.remove(job);
+                mClasses.recordStart(entry, nowMillis);
                 actions.add(action.get());
                 return true;
             }
@@ -376,10 +380,15 @@
      * may wait for a cached prompt, only upstreams are used that have most of its shared parts
      * cached, because a repeated prefill delays all waiting requests.
      *
+     * @param limit the limit on long prompts
      * @param mayUseBusy whether it may use upstreams that are not idle
      */
     private Optional<PoolAction> place(
-            WaitingJob entry, List<UpstreamLoad> withRoom, boolean mayUseBusy, long nowMillis) {
+            WaitingJob entry,
+            List<UpstreamLoad> withRoom,
+            PromptClasses.Limit limit,
+            boolean mayUseBusy,
+            long nowMillis) {
         PoolJob job = entry.job();
         long tokensLimit =
                 hasEngines() && mayWaitForCache(job, nowMillis)
@@ -387,10 +396,12 @@
                         : Long.MAX_VALUE;
         List<UpstreamLoad> eligible =
                 withRoom.stream().filter(each -> isEligible(job, each, nowMillis)).toList();
-        return candidates(job, eligible).stream()
+        return mLoads.candidates(job, eligible).stream()
                 .flatMap(each -> score(each, nowMillis).stream())
                 .filter(choice -> choice.newTokens() <= tokensLimit)
                 .filter(choice -> mayUseBusy || choice.load().isIdle(nowMillis))
+                .filter(choice -> limit.allows(job, choice))
+                .map(choice -> mClasses.addDelay(choice, nowMillis))
                 .min(Comparator.comparingDouble(ScoredCandidate::cost))
                 .map(best -> start(job, best, nowMillis));
     }
@@ -410,10 +421,7 @@
 
     /** Returns the fewest tokens that any of the candidates would have to prefill. */
     private static long fewestNewTokens(List<Candidate> candidates) {
-        return candidates.stream()
-                .mapToLong(Candidate::newTokens)
-                .min()
-                .orElse(Long.MAX_VALUE - NEGLIGIBLE_PREFILL_TOKENS);
+        return Candidate.fewestNewTokens(candidates, Long.MAX_VALUE - NEGLIGIBLE_PREFILL_TOKENS);
     }
 
     private Optional<ScoredCandidate> score(Candidate candidate, long nowMillis) {
@@ -427,7 +435,7 @@
      * and whose rate limit does not hold them back.
      */
     private List<Candidate> cacheCandidates(PoolJob job, long nowMillis) {
-        return candidates(
+        return mLoads.candidates(
                 job,
                 mLoads.all().stream()
                         .filter(each -> isEligible(job, each, nowMillis))
@@ -443,17 +451,6 @@
                 && !mPauses.isPaused(job, load, nowMillis);
     }
 
-    private List<Candidate> candidates(PoolJob job, Collection<UpstreamLoad> loads) {
-        Prompt prompt = job.prompt();
-        Optional<UpstreamId> preferred = mLoads.preferred(prompt.parts());
-        List<Candidate> candidates = new ArrayList<>(loads.size());
-        for (UpstreamLoad load : loads) {
-            boolean isPreferred = preferred.filter(load.upstream().id()::equals).isPresent();
-            candidates.add(new Candidate(job, load, load.newTokens(prompt, isPreferred)));
-        }
-        return candidates;
-    }
-
     private PoolAction start(PoolJob job, ScoredCandidate choice, long nowMillis) {
         UpstreamLoad load = choice.load();
         load.health().recordStart(nowMillis);
@@ -480,10 +477,10 @@
     }
 
     private long firstEventMillis(PoolJob job, long nowMillis) {
-        return candidates(job, mLoads.all()).stream()
+        return mLoads.candidates(job, mLoads.all()).stream()
                 .mapToLong(
                         each ->
-                                each.load().firstEventMillis(each.newTokens(), nowMillis)
+                                mClasses.firstEventMillis(each, nowMillis)
                                         + mPauses.remainingMillis(job, each.load(), nowMillis))
                 .min()
                 .orElse(Long.MAX_VALUE);
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/Refusals.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/Refusals.java
@@ -27,17 +27,20 @@
     private final WaitingJobs mWaiting;
     private final ServedTokens mServed;
     private final PeerQueues mPeerQueues;
+    private final PromptClasses mClasses;
     private long mCheckedMillis = Long.MIN_VALUE / 2;
 
     Refusals(
             PoolSettings settings,
             WaitingJobs waiting,
             ServedTokens served,
-            PeerQueues peerQueues) {
+            PeerQueues peerQueues,
+            PromptClasses classes) {
         mSettings = settings;
         mWaiting = waiting;
         mServed = served;
         mPeerQueues = peerQueues;
+        mClasses = classes;
     }
 
     /**
@@ -63,7 +66,8 @@
         long tokensBefore = 0;
         int requestsBefore = 0;
         List<PoolAction> refusals = new ArrayList<>();
-        Iterator<WaitingJob> order = mWaiting.order(mServed, nowMillis);
+        Iterator<WaitingJob> order =
+                mWaiting.order(mServed, mClasses.isLongFirst(nowMillis), nowMillis);
         while (order.hasNext()) {
             WaitingJob entry = order.next();
             long waitMillis = waitMillis(tokensBefore, requestsBefore, throughput, nowMillis);
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/UpstreamLoad.java
@@ -283,6 +283,28 @@
                 && running(nowMillis) < mUpstream.slots() * IDLE_SLOTS_FRACTION;
     }
 
+    /** Returns whether this or another instance measured the prefill speed. */
+    boolean isSpeedMeasured() {
+        return mSpeedMeasured
+                || mPeers.values().stream().anyMatch(each -> each.use().tokensPerMilli() > 0);
+    }
+
+    /**
+     * Returns whether the upstream prefills a long prompt. Reports of other instances state only
+     * the sum of their tokens; several short prompts of one instance rarely add up to a long one,
+     * because little backlog is admitted.
+     *
+     * @param longMillis the prefill time above which a prompt is long, in milliseconds
+     */
+    boolean hasLongPrefill(double longMillis, long nowMillis) {
+        double longTokens = longMillis * tokensPerMilli(nowMillis);
+        return mRunning.stream()
+                        .anyMatch(each -> each.isPrefilling() && each.newTokens() > longTokens)
+                || mPendingGrants.stream().anyMatch(each -> each.ticket().newTokens() > longTokens)
+                || mPeers.values().stream()
+                        .anyMatch(each -> each.use().prefillTokens() > longTokens);
+    }
+
     Optional<UpstreamUse> ownUse() {
         return mRunning.isEmpty() && mRate.ownStarts() == 0
                 ? Optional.empty()
--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/WaitingJobs.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 import org.magnoliapick.lib.InstanceId;
 import org.magnoliapick.lib.WorkspaceId;
 
@@ -29,6 +30,7 @@
     private final Map<PoolJob, WaitingJob> mEntries = new IdentityHashMap<>();
     private final Map<QueryKey, WaitingJob> mByQuery = new HashMap<>();
     private final Map<WorkspaceId, TreeSet<WaitingJob>> mByWorkspace = new HashMap<>();
+    private final Map<WorkspaceId, TreeSet<WaitingJob>> mLongByWorkspace = new HashMap<>();
     private final TreeSet<WaitingJob> mAnswerStarted = new TreeSet<>(WaitingJob.ORDER);
     private long mLastSequence;
     private long mTokens;
@@ -37,22 +39,33 @@
      * Adds a request.
      *
      * @param newTokens how many tokens of its prompt an engine would have to prefill
+     * @param isLong whether its prompt is long, see {@link PromptClasses}
      */
-    void add(PoolJob job, long newTokens, long nowMillis) {
-        WaitingJob entry = new WaitingJob(job, newTokens, ++mLastSequence, nowMillis);
+    void add(PoolJob job, long newTokens, boolean isLong, long nowMillis) {
+        WaitingJob entry = new WaitingJob(job, newTokens, isLong, ++mLastSequence, nowMillis);
         mEntries.put(job, entry);
-        queue(job).add(entry);
+        queue(entry).add(entry);
         mTokens += job.prompt().promptTokens();
         job.requester()
                 .ifPresent(
                         requester -> mByQuery.put(new QueryKey(requester, job.queryId()), entry));
     }
 
-    private TreeSet<WaitingJob> queue(PoolJob job) {
+    private TreeSet<WaitingJob> queue(WaitingJob entry) {
+        PoolJob job = entry.job();
         return job.answerStarted()
                 ? mAnswerStarted
-                : mByWorkspace.computeIfAbsent(
-                        job.account(), each -> new TreeSet<>(WaitingJob.ORDER));
+                : queues(entry)
+                        .computeIfAbsent(job.account(), each -> new TreeSet<>(WaitingJob.ORDER));
+    }
+
+    private Map<WorkspaceId, TreeSet<WaitingJob>> queues(WaitingJob entry) {
+        return entry.isLong() ? mLongByWorkspace : mByWorkspace;
+    }
+
+    /** Returns the number of waiting requests with long prompts. */
+    int longCount() {
+        return mLongByWorkspace.values().stream().mapToInt(TreeSet::size).sum();
     }
 
     void remove(PoolJob job) {
@@ -60,10 +73,10 @@
         if (entry == null) {
             return;
         }
-        TreeSet<WaitingJob> queue = queue(job);
+        TreeSet<WaitingJob> queue = queue(entry);
         queue.remove(entry);
         if (queue.isEmpty()) {
-            mByWorkspace.remove(job.account(), queue);
+            queues(entry).remove(job.account(), queue);
         }
         mTokens -= job.prompt().promptTokens();
         job.requester()
@@ -99,7 +112,7 @@
 
     /** Returns the tokens that the least served workspace with waiting requests was served. */
     OptionalLong leastServedTokens(ServedTokens served, long nowMillis) {
-        return mByWorkspace.keySet().stream()
+        return Stream.concat(mByWorkspace.keySet().stream(), mLongByWorkspace.keySet().stream())
                 .mapToLong(workspace -> Math.round(served.of(workspace, nowMillis)))
                 .min();
     }
@@ -109,18 +122,24 @@
      * those of the least served workspaces. How much a workspace was served takes precedence over
      * ranks, which only order the requests of workspaces that were served about the same. The
      * iterator must not be used after a change.
+     *
+     * @param longFirst whether long prompts go before short ones of workspaces that were served
+     *     about the same, and not after them
      */
-    Iterator<WaitingJob> order(ServedTokens served, long nowMillis) {
+    Iterator<WaitingJob> order(ServedTokens served, boolean longFirst, long nowMillis) {
         List<QueueCursor> cursors = new ArrayList<>();
         if (!mAnswerStarted.isEmpty()) {
             cursors.add(new QueueCursor(-1, mAnswerStarted.iterator()));
         }
-        mByWorkspace.forEach(
-                (workspace, queue) ->
-                        cursors.add(
-                                new QueueCursor(
-                                        level(served.of(workspace, nowMillis)), queue.iterator())));
-        return new MergedIterator(cursors);
+        for (Map<WorkspaceId, TreeSet<WaitingJob>> each : List.of(mByWorkspace, mLongByWorkspace)) {
+            each.forEach(
+                    (workspace, queue) ->
+                            cursors.add(
+                                    new QueueCursor(
+                                            level(served.of(workspace, nowMillis)),
+                                            queue.iterator())));
+        }
+        return new MergedIterator(cursors, longFirst);
     }
 
     /**
@@ -135,9 +154,8 @@
 
     /** An iterator over one queue; its next request is compared with those of the other queues. */
     private static final class QueueCursor {
-        private static final Comparator<QueueCursor> ORDER =
-                Comparator.comparingInt((QueueCursor cursor) -> cursor.mLevel)
-                        .thenComparing(cursor -> cursor.mNext, WaitingJob.ORDER);
+        private static final Comparator<QueueCursor> LONG_FIRST = order(true);
+        private static final Comparator<QueueCursor> LONG_LAST = order(false);
 
         private final int mLevel;
         private final Iterator<WaitingJob> mRemaining;
@@ -148,12 +166,22 @@
             mRemaining = jobs;
             mNext = jobs.next();
         }
+
+        private static Comparator<QueueCursor> order(boolean longFirst) {
+            return Comparator.comparingInt((QueueCursor cursor) -> cursor.mLevel)
+                    .thenComparing(
+                            cursor -> cursor.mNext,
+                            WaitingJob.orderWithClasses(
+                                    each -> each.isLong() == longFirst ? 0 : 1));
+        }
     }
 
     private static final class MergedIterator implements Iterator<WaitingJob> {
-        private final PriorityQueue<QueueCursor> mCursors = new PriorityQueue<>(QueueCursor.ORDER);
+        private final PriorityQueue<QueueCursor> mCursors;
 
-        private MergedIterator(List<QueueCursor> cursors) {
+        private MergedIterator(List<QueueCursor> cursors, boolean longFirst) {
+            mCursors =
+                    new PriorityQueue<>(longFirst ? QueueCursor.LONG_FIRST : QueueCursor.LONG_LAST);
             mCursors.addAll(cursors);
         }
 
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/PromptReplayTable.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/PromptReplayTable.java
@@ -1,17 +1,21 @@
 package org.magnoliapick.pool;
 
-/** Prints the table of docs/design/long-prompts.md: all loads, with several seeds each. */
+/**
+ * Prints the table of docs/design/long-prompts.md: all loads, with several seeds each; the argument
+ * "classes" enables prompt classes.
+ */
 final class PromptReplayTable {
     private static final int SEEDS = 5;
 
     private PromptReplayTable() {}
 
     public static void main(String[] args) {
+        boolean classes = args.length > 0 && args[0].equals("classes");
         for (PromptReplays load : PromptReplays.values()) {
             for (String kind : new String[] {"short", "long"}) {
                 double[] sums = new double[5];
                 for (int seed = 1; seed <= SEEDS; seed++) {
-                    PromptReplay replay = load.run(new PoolSettings(4_000, 512), seed);
+                    PromptReplay replay = load.run(new PoolSettings(4_000, 512, classes), seed);
                     PromptReplay.Result result = replay.result(kind, 0, PromptReplays.END_MILLIS);
                     if (result.requests().isEmpty()) {
                         continue;
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
@@ -20,6 +20,7 @@
  * @param shareWindowMillis the window over which the use of workspaces is compared
  * @param stopGraceMillis how long a graceful stop may take
  * @param milliCores the processor capacity in thousandths of a core
+ * @param promptClasses whether long prompts are placed differently from short ones
  * @param bounds the limits on how long changes may take to reach every instance
  */
 public record GatewaySettings(
@@ -36,6 +37,7 @@
         long shareWindowMillis,
         long stopGraceMillis,
         int milliCores,
+        boolean promptClasses,
         Bounds bounds) {
     /** Copies the list of seeds. */
     public GatewaySettings {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -95,7 +95,10 @@
         mPools =
                 new Pools(
                         mConnector,
-                        new PoolSettings(settings.shareWindowMillis(), MAX_WAITING_REQUESTS),
+                        new PoolSettings(
+                                settings.shareWindowMillis(),
+                                MAX_WAITING_REQUESTS,
+                                settings.promptClasses()),
                         mDirectory,
                         mContext.quarantine(),
                         mContext.rateLimits(),
@@ -225,6 +228,10 @@
         }
         RelayCounters.appendMetric(
                 text, "magnoliapick_upstreams_rate_limited", mContext.rateLimits().limitedCount());
+        RelayCounters.appendMetric(
+                text,
+                "magnoliapick_engines_with_long_prefill",
+                mPools.longPrefills(mClockMillis.getAsLong()));
         mRelays.statements().writeMetrics(text);
         return new ControlServer.Page(true, text.toString());
     }
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/SettingsReader.java
@@ -27,6 +27,9 @@
     /** The default for the propagation bounds, in milliseconds. */
     private static final double DEFAULT_BOUND_MILLIS = 2_000;
 
+    /** The name in a deployment's list of policies that asks for prompt classes. */
+    private static final String PROMPT_CLASSES_POLICY = "pressure";
+
     private final Map<?, ?> mRoot;
     private final TreeSet<String> mUnreadKeys = new TreeSet<>();
 
@@ -82,6 +85,7 @@
                                         MILLI_PER_UNIT
                                                 * nonNegative("machine.processorShare", 1)
                                                 * nonNegative("machine.processorSpeed", 1)),
+                        promptClasses(),
                         new GatewaySettings.Bounds(
                                 (long) nonNegative("bounds.leavingMillis", DEFAULT_BOUND_MILLIS),
                                 (long) nonNegative("bounds.configMillis", DEFAULT_BOUND_MILLIS)));
@@ -124,6 +128,33 @@
         return value(path).toString();
     }
 
+    /** Returns whether the setting is on by itself or listed among the deployment's policies. */
+    private boolean promptClasses() {
+        boolean enabled = flag("placement.promptClasses");
+        return strings("placement.policies").contains(PROMPT_CLASSES_POLICY) || enabled;
+    }
+
+    /** Reads a setting that is off if the key is missing or has no value. */
+    private boolean flag(String path) {
+        Object value = find(path);
+        if (value == null || value instanceof Boolean) {
+            return Boolean.TRUE.equals(value);
+        }
+        throw new IllegalArgumentException(path + ": expected true or false");
+    }
+
+    /** Reads a list of strings that is empty if the key is missing or has no value. */
+    private List<String> strings(String path) {
+        Object value = find(path);
+        if (value == null) {
+            return List.of();
+        }
+        if (value instanceof List<?> items) {
+            return items.stream().map(String::valueOf).toList();
+        }
+        throw new IllegalArgumentException(path + ": expected a list");
+    }
+
     private double nonNegative(String path) {
         Object value = value(path);
         if (value instanceof Number number
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/Pools.java
@@ -285,6 +285,13 @@
         return mPools.values().stream().mapToInt(ServicePool::waitingCount).sum();
     }
 
+    /** Returns the number of engines that prefill long prompts, as far as this instance knows. */
+    public int longPrefills(long nowMillis) {
+        return mPools.values().stream()
+                .mapToInt(each -> each.scheduler().longPrefills(nowMillis))
+                .sum();
+    }
+
     /**
      * Processes a packet from another instance.
      *
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFleet.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/GatewayFleet.java
@@ -97,6 +97,7 @@
                         common.stopGraceMillis(),
                         // The strongest machine is the dispatcher.
                         number == 0 ? 4_000 : 1_000,
+                        common.promptClasses(),
                         common.bounds());
         ByteArrayOutputStream log = new ByteArrayOutputStream();
         mLogs.add(log);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/TestSettings.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/TestSettings.java
@@ -34,6 +34,7 @@
                 4_000,
                 1_000,
                 1_000,
+                false,
                 new GatewaySettings.Bounds(2_000, 2_000));
     }
 }
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
@@ -53,6 +53,21 @@
         assertThat(settings.bounds()).isEqualTo(new GatewaySettings.Bounds(2_000, 2_000));
     }
 
+    /** Guards against prompt classes on deployments that do not ask for them. */
+    @Test
+    void usesPromptClassesOnlyIfAskedFor() throws Exception {
+        for (String off : List.of("", "placement: {policies: [a, ''], promptClasses: }")) {
+            assertThat(read(VALID + off).promptClasses()).isFalse();
+        }
+        for (String on : List.of("{promptClasses: true}", "{policies: [\"a\", \"pressure\",]}")) {
+            assertThat(read(VALID + "placement: " + on).promptClasses()).isTrue();
+        }
+        assertThatThrownBy(() -> read(VALID + "placement: {policies: pressure}"))
+                .hasMessageContaining("placement.policies: expected a list");
+        assertThatThrownBy(() -> read(VALID + "placement: {promptClasses: 1}"))
+                .hasMessageContaining("placement.promptClasses: expected true or false");
+    }
+
     @Test
     void readsAllKeys() throws Exception {
         GatewaySettings settings = read(VALID);
