--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/PromptReplay.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/PromptReplay.java
@@ -187,10 +187,11 @@
             return relative(0.7, 0.9);
         }
 
-        /** Returns the prompt tokens that a workspace was served. */
-        long servedTokens(String workspace) {
+        /** Returns the prompt tokens that workspaces were served. */
+        long servedTokens(String... workspaces) {
             return requests.stream()
-                    .filter(each -> each.mWorkspace.equals(workspace) && each.isServed())
+                    .filter(Request::isServed)
+                    .filter(each -> Set.of(workspaces).contains(each.mWorkspace))
                     .mapToLong(each -> each.mTokens)
                     .sum();
         }
