--- a/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
+++ b/magnoliapick-core/src/main/java/org/magnoliapick/pool/PoolLoads.java
@@ -1,5 +1,6 @@
 package org.magnoliapick.pool;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -12,6 +13,7 @@
 import org.magnoliapick.lib.UpstreamId;
 import org.magnoliapick.limit.ColdBounds;
 import org.magnoliapick.limit.RateLimits;
+import org.magnoliapick.relay.Prompt;
 import org.magnoliapick.relay.PromptPart;
 import org.magnoliapick.route.ColdSpec;
 import org.magnoliapick.route.EngineSpec;
@@ -169,6 +171,26 @@
         return mPreferred.preferred(parts);
     }
 
+    /** Returns upstreams as candidates for a request. */
+    List<Candidate> candidates(PoolJob job, Collection<UpstreamLoad> loads) {
+        Prompt prompt = job.prompt();
+        Optional<UpstreamId> preferred = preferred(prompt.parts());
+        List<Candidate> candidates = new ArrayList<>(loads.size());
+        for (UpstreamLoad load : loads) {
+            boolean isPreferred = preferred.filter(load.upstream().id()::equals).isPresent();
+            candidates.add(new Candidate(job, load, load.newTokens(prompt, isPreferred)));
+        }
+        return candidates;
+    }
+
+    /** Returns why a request that waits too long could not be started. */
+    PoolCause lateCause(long nowMillis) {
+        if (mLoads.isEmpty()) {
+            return PoolCause.NO_UPSTREAM;
+        }
+        return isRateLimited(nowMillis) ? PoolCause.RATE_LIMITED : PoolCause.TOO_LATE;
+    }
+
     /** Returns whether there are upstreams and all of them are rate-limited or cold. */
     boolean isRateLimited(long nowMillis) {
         return !mLoads.isEmpty()
--- a/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
+++ b/magnoliapick-core/src/test/java/org/magnoliapick/pool/FakeFleet.java
@@ -230,7 +230,7 @@
                         "s",
                         new PoolScheduler(
                                 mService,
-                                new PoolSettings(4_000, 100, new ColdBounds(1.5, 5)),
+                                new PoolSettings(4_000, 100, new ColdBounds(1.5, 5), false),
                                 mKnowledge.quarantine(),
                                 mKnowledge.rateLimits(),
                                 mKnowledge.pauses()));
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param shareWindowMillis the window over which the use of workspaces is compared
  * @param stopGraceMillis how long a graceful stop may take
  * @param milliCores the processor capacity in thousandths of a core
+ * @param promptClasses whether long prompts are placed differently from short ones
  * @param bounds the limits on how long changes may take to reach every instance
  * @param admission whether requests are rejected early while the instance is overloaded
  * @param maxDescriptors the number of file descriptors that the process may have; 0 if unknown
@@ -39,6 +40,7 @@
         long shareWindowMillis,
         long stopGraceMillis,
         int milliCores,
+        boolean promptClasses,
         Bounds bounds,
         boolean admission,
         long maxDescriptors) {
--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/Gateway.java
@@ -100,7 +100,8 @@
                         new PoolSettings(
                                 settings.shareWindowMillis(),
                                 MAX_WAITING_REQUESTS,
-                                settings.bounds().cold()),
+                                settings.bounds().cold(),
+                                settings.promptClasses()),
                         mDirectory,
                         mContext.quarantine(),
                         mContext.rateLimits(),
@@ -243,6 +244,10 @@
         }
         RelayCounters.appendMetric(
                 text, "magnoliapick_upstreams_rate_limited", mContext.rateLimits().limitedCount());
+        RelayCounters.appendMetric(
+                text,
+                "magnoliapick_engines_with_long_prefill",
+                mPools.longPrefills(mClockMillis.getAsLong()));
         mRelays.statements().writeMetrics(text);
         mContext.admission().writeMetrics(text);
         mCallers.writeMetrics(text);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/TestSettings.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/TestSettings.java
@@ -44,6 +44,7 @@
                 4_000,
                 1_000,
                 milliCores,
+                false,
                 new GatewaySettings.Bounds(2_000, 2_000, 5_000),
                 false,
                 0);
--- a/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
+++ b/magnoliapick-gateway/src/test/java/org/magnoliapick/gateway/internal/SettingsReaderTest.java
@@ -78,6 +78,21 @@
                 .hasMessageContaining("overload.admission: expected true or false");
     }
 
+    /** Guards against prompt classes on deployments that do not ask for them. */
+    @Test
+    void usesPromptClassesOnlyIfAskedFor() throws Exception {
+        for (String off : List.of("", "placement: {policies: [a, ''], promptClasses: }")) {
+            assertThat(read(VALID + off).promptClasses()).isFalse();
+        }
+        for (String on : List.of("{promptClasses: true}", "{policies: [\"a\", \"pressure\",]}")) {
+            assertThat(read(VALID + "placement: " + on).promptClasses()).isTrue();
+        }
+        assertThatThrownBy(() -> read(VALID + "placement: {policies: pressure}"))
+                .hasMessageContaining("placement.policies: expected a list");
+        assertThatThrownBy(() -> read(VALID + "placement: {promptClasses: 1}"))
+                .hasMessageContaining("placement.promptClasses: expected true or false");
+    }
+
     @Test
     void readsAllKeys() throws Exception {
         GatewaySettings settings = read(VALID);
