--- a/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/AdmissionGate.java
+++ b/magnoliapick-gateway/src/main/java/org/magnoliapick/gateway/internal/relay/AdmissionGate.java
@@ -41,6 +41,7 @@
     private final OverloadReadiness mReadiness = new OverloadReadiness();
     private IntSupplier mInFlight = () -> 0;
     private boolean mEnabled;
+    private boolean mFaulty;
     private boolean mReady = true;
     private long mLoggedMillis;
     private long mLoggedAdmitted;
@@ -77,13 +78,17 @@
 
     /** Decides whether a request is rejected, when its head was read and nothing else was done. */
     public Optional<Rejection> decide(HttpRequest head, long nowMillis) {
-        if (!mEnabled) {
+        if (mFaulty) {
             return Optional.empty();
         }
         try {
+            // Sends depend on the delay, too, so it is measured in any case.
             if (mControl.needsMeasurement()) {
                 measure(nowMillis);
             }
+            if (!mEnabled) {
+                return Optional.empty();
+            }
             Optional<Rejection> rejection =
                     mControl.decide(() -> readNeed(head), mInFlight.getAsInt(), nowMillis);
             if (rejection.isPresent()) {
@@ -98,6 +103,7 @@
     }
 
     private void disable(RuntimeException fault) {
+        mFaulty = true;
         setEnabled(false);
         mContext.log().line("admission.fault").withFault(fault).log();
     }
@@ -150,7 +156,7 @@
      * having read it.
      */
     boolean isBehind() {
-        return mEnabled && mControl.isBehind(mContext.nowMillis());
+        return !mFaulty && mControl.isBehind(mContext.nowMillis());
     }
 
     /** Returns whether the instance is ready as far as its load is concerned. */
